--- /dev/null
+++ b/src/bookkeeping/budget.rs
@@ -0,0 +1,43 @@
+//! A token bucket for calls to services that limit their rate.
+
+/// Allows `rate` a second, with bursts of `burst`.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: f64,
+}
+
+impl Budget {
+    pub fn new(rate: f64, burst: f64) -> Budget {
+        Budget {
+            rate,
+            burst,
+            level: burst,
+            at: 0.0,
+        }
+    }
+
+    fn refill(&mut self, now: f64) {
+        let passed = (now - self.at).max(0.0);
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.at = self.at.max(now);
+    }
+
+    /// How much may be taken now.
+    pub fn level(&mut self, now: f64) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
+    /// Takes `n` if that much is left.
+    pub fn take(&mut self, now: f64, n: f64) -> bool {
+        self.refill(now);
+        let enough = self.level >= n;
+        if enough {
+            self.level -= n;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,6 @@
+//! What is kept in the state service, and within which budget.
+
+pub mod budget;
+pub mod index;
+pub mod records;
+pub mod store;
--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,100 @@
+//! The keys in the state service and what is stored under them.
+//!
+//! - `leader`: who leads, on a lease; its version is the leader's token
+//! - `job/ID`: the job was accepted; write-once, kept for ever
+//! - `open/ID`: the description, until the job's end
+//! - `end/ID`: how the job ended; write-once, kept for ever
+//! - `run/ID/CHUNK`: places, attempts and completed tasks of a range of tasks
+//! - `machine/NAME`: how to reach a machine that may hold tasks
+
+use crate::protocol::job::{JobSpec, JobState};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+pub const LEADER: &str = "leader";
+pub const OPEN: &str = "open/";
+pub const RUN: &str = "run/";
+pub const MACHINE: &str = "machine/";
+
+pub fn job_key(id: &str) -> String {
+    format!("job/{id}")
+}
+
+pub fn open_key(id: &str) -> String {
+    format!("{OPEN}{id}")
+}
+
+pub fn end_key(id: &str) -> String {
+    format!("end/{id}")
+}
+
+pub fn run_key(id: &str, chunk: usize) -> String {
+    format!("{RUN}{id}/{chunk}")
+}
+
+pub fn machine_key(name: &str) -> String {
+    format!("{MACHINE}{name}")
+}
+
+/// Splits `run/ID/CHUNK` into its parts.
+pub fn parse_run_key(key: &str) -> Option<(&str, usize)> {
+    let (id, chunk) = key.strip_prefix(RUN)?.rsplit_once('/')?;
+    Some((id, chunk.parse().ok()?))
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: String,
+}
+
+/// An accepted job that has not ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OpenRecord {
+    pub spec: JobSpec,
+    /// When it was accepted, in milliseconds of the time of day.
+    pub at_ms: u64,
+    /// Its user has taken it back, and its places are being cleared.
+    #[serde(default)]
+    pub cancelled: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndRecord {
+    pub state: JobState,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub endpoint: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// Completed tasks as ranges (first, last), and where the others may be.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RunRecord {
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
+    #[serde(rename = "p", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub places: BTreeMap<String, Vec<(u32, u64)>>,
+}
+
+impl RunRecord {
+    /// Adds a completed task; tasks must come in rising order.
+    pub fn push_done(&mut self, task: u32) {
+        match self.done.last_mut() {
+            Some((_, last)) if *last + 1 == task => *last = task,
+            _ => self.done.push((task, task)),
+        }
+    }
+}
+
+/// The longest text that a task can take in a record: its number, its attempt and a share of its
+/// machine's name.
+const BYTES_A_TASK: f64 = 64.0;
+
+/// How many tasks go into one record, so that it stays within the largest value.
+pub fn tasks_a_chunk(value_kb: f64) -> usize {
+    ((value_kb * 1024.0 / BYTES_A_TASK) as usize).max(1)
+}
--- /dev/null
+++ b/src/coordination/health.rs
@@ -0,0 +1,168 @@
+//! Machines that are silent, faulty or about to be taken; jobs that fail wherever they run.
+
+use super::core::{Core, Effect};
+use super::state::*;
+use super::Time;
+use crate::protocol::cloud::MOST_RETURNED;
+use tracing::{info, warn};
+
+/// Distinct jobs that must fail on a machine before it is held to be faulty.
+const FAULTY_MACHINE_JOBS: usize = 2;
+/// Distinct machines that a job must fail on before it is held to be faulty.
+const FAULTY_JOB_MACHINES: usize = 3;
+
+impl Core {
+    pub(super) fn succeeded_on(&mut self, name: &Name, image: &str, now: Time) {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.failures.clear();
+            m.images.insert(image.to_string(), now);
+        }
+    }
+
+    /// A task failed. The machine is suspected when several jobs fail there; the job, when it
+    /// fails on several machines.
+    pub(super) fn failed_on(&mut self, id: &Name, name: &Name, now: Time) {
+        let report_s = self.settings.cluster.workers.report_s;
+        let job_is_faulty = self.jobs.get_mut(id).is_some_and(|job| {
+            job.failed_on.insert(name.clone());
+            let count = job.failed_on.len();
+            if count >= FAULTY_JOB_MACHINES {
+                let pause_s = report_s * f64::from(1 << count.min(6));
+                job.retry_at = now + pause_s;
+                warn!("{id}: failed on {count} machines, waits {pause_s:.0} s");
+                job.failed_on.clear();
+            }
+            count >= FAULTY_JOB_MACHINES
+        });
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        if !job_is_faulty {
+            m.failures.insert(id.clone());
+        }
+        if m.failures.len() >= FAULTY_MACHINE_JOBS && !m.quarantined {
+            warn!(
+                "{name}: quarantined, tasks of {} jobs failed there",
+                m.failures.len()
+            );
+            m.quarantined = true;
+        }
+    }
+
+    /// A start was refused: the next try waits for a newer picture of the machine.
+    pub(super) fn refused_on(&mut self, id: &Name, now: Time) {
+        let pause_s = self.settings.cluster.workers.report_s / 2.0;
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.retry_at = job.retry_at.max(now + pause_s);
+        }
+    }
+
+    /// The cloud takes the machine soon: what can save does, the rest moves.
+    pub(super) fn drain(&mut self, name: &Name, now: Time) {
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
+        let left_s = m.taken_at.map_or(0.0, |t| t - now);
+        let mut stops = Vec::new();
+        for (key, place) in m.live() {
+            let Some(job) = self.jobs.get(&key.0) else {
+                continue;
+            };
+            // Work that ends in time, by its prediction, is left to end.
+            if self.predicted_end(key, place, now) < now + left_s {
+                continue;
+            }
+            let saves = job.spec.checkpoint_s > 0.0 && job.spec.save_s < left_s;
+            stops.push((key.clone(), if saves { job.spec.save_s } else { 0.0 }));
+        }
+        for (key, grace_s) in stops {
+            self.stop(name, &key, grace_s, now);
+        }
+    }
+
+    /// Looks after machines that are silent, failed or never came up.
+    pub(super) fn check_machines(&mut self, now: Time) {
+        let silence_s = self.silence_s();
+        let leads_since = self.leads_since;
+        let quiet = |m: &Machine| now - m.heard.unwrap_or(m.rented).max(leads_since) > silence_s;
+        let up = self
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Up)
+            .count();
+        let silent: Vec<Name> = self
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Up && quiet(m))
+            .map(|m| m.name.clone())
+            .collect();
+        // Many at once: it is rather our own network that is cut.
+        if silent.len() * 2 <= up.max(2) {
+            for name in silent {
+                warn!("{name}: silent for over {silence_s:.0} s, is returned");
+                self.give_back(&name);
+            }
+        } else if !silent.is_empty() {
+            warn!(
+                "{} of {up} machines are silent: nothing is returned",
+                silent.len()
+            );
+        }
+        let patience = self.settings.policy.boot_patience;
+        let failed: Vec<(Name, &str)> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Returning)
+            .filter_map(|m| {
+                let boot_s = self.type_of(&m.kind).map(|t| t.boot_s)?;
+                if m.listed_failed {
+                    Some((m.name.clone(), "has failed"))
+                } else if m.phase == Phase::Booting && now - m.rented > patience * boot_s {
+                    Some((m.name.clone(), "has not come up"))
+                } else if m.quarantined && m.is_empty() {
+                    Some((m.name.clone(), "is faulty"))
+                } else {
+                    None
+                }
+            })
+            .collect();
+        for (name, why) in failed {
+            info!("{name}: {why}, is returned");
+            self.give_back(&name);
+        }
+        self.send_returns();
+    }
+
+    /// Decides that a machine is to be returned; it counts until the cloud has confirmed it.
+    pub(super) fn give_back(&mut self, name: &Name) {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.phase = Phase::Returning;
+        }
+    }
+
+    fn send_returns(&mut self) {
+        let mut names = Vec::new();
+        for m in self.machines.values_mut() {
+            if m.phase == Phase::Returning && !m.return_in_flight && names.len() < MOST_RETURNED {
+                m.return_in_flight = true;
+                names.push(m.name.to_string());
+            }
+        }
+        if !names.is_empty() {
+            self.effects.push(Effect::Return(names));
+        }
+    }
+
+    /// What the cloud answered to a return: a 200 proves that the machines are gone.
+    pub fn returned(&mut self, names: &[String], confirmed: bool, now: Time) {
+        for name in names {
+            let name: Name = name.as_str().into();
+            if confirmed {
+                info!("{name}: returned");
+                self.machine_gone(&name, now);
+            } else if let Some(m) = self.machines.get_mut(&name) {
+                m.return_in_flight = false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,393 @@
+//! Which machine takes a task: types, zones, kinds, limits, images and room.
+
+use super::backfill::Reservation;
+use super::core::Core;
+use super::queue::{outranks, Blocked};
+use super::state::*;
+use super::Time;
+use crate::protocol::job::Kind;
+use std::collections::{HashMap, HashSet};
+
+pub(super) struct Plan {
+    pub job: Name,
+    pub task: u32,
+    pub machine: Name,
+    /// All tasks of a gang share their attempt.
+    pub gang: bool,
+}
+
+#[derive(Default)]
+pub(super) struct Plans {
+    pub places: Vec<Plan>,
+    pub stops: Vec<(Name, PlaceKey)>,
+}
+
+/// One pass of placing: rooms and limits as they will be once its plans are carried out.
+pub(super) struct Pass<'a> {
+    core: &'a Core,
+    pub now: Time,
+    machines: Vec<&'a Machine>,
+    open: Vec<bool>,
+    rooms: Vec<Room>,
+    /// Room on each machine that is kept warm for services.
+    warm: Vec<Room>,
+    team_use: HashMap<String, (f64, f64)>,
+    zones: HashMap<Name, HashMap<Name, u32>>,
+    victims: HashSet<PlaceKey>,
+    plans: Plans,
+}
+
+/// Seconds of waiting that a free start is worth against stopping other work.
+const PREEMPTION_PENALTY_S: f64 = 1.0;
+
+impl<'a> Pass<'a> {
+    pub fn new(core: &'a Core, now: Time) -> Pass<'a> {
+        let machines: Vec<&Machine> = core.machines.values().collect();
+        let silence_s = core.silence_s();
+        let open = machines
+            .iter()
+            .map(|m| m.takes_tasks(now, silence_s) && core.type_of(&m.kind).is_some())
+            .collect();
+        let rooms = machines.iter().map(|m| core.free_room(m)).collect();
+        Pass {
+            core,
+            now,
+            warm: vec![Room::default(); machines.len()],
+            machines,
+            open,
+            rooms,
+            team_use: core.team_use.clone(),
+            zones: HashMap::new(),
+            victims: HashSet::new(),
+            plans: Plans::default(),
+        }
+    }
+
+    pub fn finish(self) -> Plans {
+        self.plans
+    }
+
+    pub fn machine(&self, i: usize) -> &'a Machine {
+        self.machines[i]
+    }
+
+    /// What batches may use of a machine's room.
+    pub fn room(&self, i: usize) -> Room {
+        let mut room = self.rooms[i];
+        room.take(&self.warm[i]);
+        room
+    }
+
+    /// Machines that may take a task of the job at all.
+    pub fn allowed<'b>(&'b self, job: &'b Job) -> impl Iterator<Item = usize> + 'b {
+        (0..self.machines.len()).filter(move |i| {
+            let m = self.machines[*i];
+            self.open[*i] && may_use(job, m) && !job.failed_on.contains(&m.name)
+        })
+    }
+
+    fn within_limit(&self, job: &Job, tasks: u32) -> bool {
+        let Some(team) = self.core.team(&job.spec.team) else {
+            return false;
+        };
+        let used = self
+            .team_use
+            .get(&job.spec.team)
+            .copied()
+            .unwrap_or_default();
+        let fits = |used: f64, need: f64, most: f64| {
+            most <= 0.0 || need <= 0.0 || used + need * f64::from(tasks) <= most + 1e-9
+        };
+        fits(used.0, job.spec.cpus, team.cpus_max) && fits(used.1, job.spec.gpus, team.gpus_max)
+    }
+
+    fn zones_of(&mut self, job: &Job) -> &mut HashMap<Name, u32> {
+        let core = self.core;
+        self.zones.entry(job.id.clone()).or_insert_with(|| {
+            let mut zones = HashMap::new();
+            // Only such jobs are asked for; others would be scanned for nothing.
+            if job.spec.one_zone || job.spec.spread {
+                for (machine, _) in job.tasks.iter().flat_map(|t| &t.at) {
+                    if let Some(m) = core.machines.get(machine) {
+                        *zones.entry(m.zone.clone()).or_default() += 1;
+                    }
+                }
+            }
+            zones
+        })
+    }
+
+    fn zone_allowed(&mut self, job: &Job, zone: &Name) -> bool {
+        let most = job.spec.tasks.div_ceil(2);
+        let (one_zone, spread) = (job.spec.one_zone, job.spec.spread);
+        let zones = self.zones_of(job);
+        let here = zones.get(zone).copied().unwrap_or(0);
+        let elsewhere = zones.iter().any(|(z, n)| z != zone && *n > 0);
+        !(one_zone && elsewhere || spread && here >= most)
+    }
+
+    fn fetch_s(&self, job: &Job, m: &Machine) -> f64 {
+        if m.images.contains_key(&job.spec.image) {
+            return 0.0;
+        }
+        let rate = self.core.type_of(&m.kind).map_or(1.0, |t| t.fetch_gb_per_s);
+        job.spec.image_gb / rate.max(1e-3)
+    }
+
+    fn plan(&mut self, job: &Job, task: u32, i: usize, gang: bool) {
+        let need = job.need();
+        self.rooms[i].take(&need);
+        let usage = self.team_use.entry(job.spec.team.clone()).or_default();
+        usage.0 += need.cpus;
+        usage.1 += need.gpus;
+        let zone = self.machines[i].zone.clone();
+        *self.zones_of(job).entry(zone).or_default() += 1;
+        self.plans.places.push(Plan {
+            job: job.id.clone(),
+            task,
+            machine: self.machines[i].name.clone(),
+            gang,
+        });
+    }
+
+    /// A replica goes where it starts soonest; lesser work makes room where that is sooner.
+    pub fn place_service(&mut self, job: &Job, task: u32) -> Result<(), Blocked> {
+        if !self.within_limit(job, 1) {
+            return Err(Blocked::Rule);
+        }
+        let need = job.need();
+        let candidates: Vec<usize> = self.allowed(job).collect();
+        let mut best: Option<(f64, usize, Vec<PlaceKey>)> = None;
+        for i in candidates {
+            if !self.zone_allowed(job, &self.machines[i].zone) {
+                continue;
+            }
+            let Some(victims) = self.make_room(job, i, &need) else {
+                continue;
+            };
+            let lost = match victims.is_empty() {
+                true => 0.0,
+                false => PREEMPTION_PENALTY_S + 0.01 * self.lost_s(i, &victims),
+            };
+            // Among equals the fullest: others can then empty and be returned.
+            let packing = 0.1 * self.free_share(i);
+            let cost = self.fetch_s(job, self.machines[i]) + lost + packing;
+            if best.as_ref().is_none_or(|b| cost < b.0) {
+                best = Some((cost, i, victims));
+            }
+        }
+        let Some((_, i, victims)) = best else {
+            return Err(Blocked::Room);
+        };
+        for key in victims {
+            let name = self.machines[i].name.clone();
+            self.rooms[i].add(&self.machines[i].places[&key].need);
+            self.victims.insert(key.clone());
+            self.plans.stops.push((name, key));
+        }
+        self.plan(job, task, i, false);
+        Ok(())
+    }
+
+    fn free_share(&self, i: usize) -> f64 {
+        let total = self
+            .core
+            .type_of(&self.machines[i].kind)
+            .map_or(1.0, |t| t.cpus);
+        (self.rooms[i].cpus / total.max(1e-3)).clamp(0.0, 1.0)
+    }
+
+    fn lost_s(&self, i: usize, victims: &[PlaceKey]) -> f64 {
+        let places = &self.machines[i].places;
+        let age = |k: &PlaceKey| self.now - places[k].running_since.unwrap_or(self.now);
+        victims.iter().map(age).sum()
+    }
+
+    /// Which lesser work to stop so that the room suffices: none, if it does already.
+    fn make_room(&self, job: &Job, i: usize, need: &Room) -> Option<Vec<PlaceKey>> {
+        let mut room = self.rooms[i];
+        let mut victims = Vec::new();
+        if room.fits(need) {
+            return Some(victims);
+        }
+        let mut lesser: Vec<(&PlaceKey, &Place)> = self.machines[i]
+            .live()
+            .filter(|(key, p)| {
+                let other = self.core.jobs.get(&key.0);
+                // What saves before it stops, or is not surely there, does not free its room now.
+                let quick = matches!(p.stage, Stage::Seen(_)) && p.stop.is_none();
+                quick
+                    && !self.victims.contains(*key)
+                    && other.is_some_and(|o| {
+                        o.spec.kind == Kind::Array
+                            && o.spec.checkpoint_s <= 0.0
+                            && outranks(job.spec.priority, o.spec.priority)
+                    })
+            })
+            .collect();
+        // The youngest first: they lose the least.
+        lesser.sort_by(|a, b| b.1.since.total_cmp(&a.1.since));
+        for (key, place) in lesser {
+            room.add(&place.need);
+            victims.push(key.clone());
+            if room.fits(need) {
+                return Some(victims);
+            }
+        }
+        None
+    }
+
+    /// Sets room aside for the replicas that are expected before a machine could be rented.
+    pub fn keep_warm(&mut self) {
+        for (need, count, image) in self.core.fleet.expected(self.core, self.now) {
+            for _ in 0..count {
+                let free = (0..self.machines.len())
+                    .filter(|i| self.open[*i] && !self.machines[*i].spot)
+                    .filter(|i| self.room(*i).fits(&need))
+                    .min_by(|a, b| {
+                        let key = |i: usize| {
+                            let cold = !self.machines[i].images.contains_key(&image);
+                            (cold, self.free_share(i))
+                        };
+                        let (a, b) = (key(*a), key(*b));
+                        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+                    });
+                match free {
+                    Some(i) => self.warm[i].add(&need),
+                    None => break,
+                }
+            }
+        }
+    }
+
+    /// A task of an array goes where its image is, on machines that the cloud may take back
+    /// before others, on the fullest.
+    pub fn place_task(
+        &mut self,
+        job: &Job,
+        task: u32,
+        mut head: Option<&mut Reservation>,
+        guaranteed: bool,
+    ) -> Result<(), Blocked> {
+        if !self.within_limit(job, 1) {
+            return Err(Blocked::Rule);
+        }
+        let need = job.need();
+        let mut zone_blocked = false;
+        let mut best: Option<(f64, usize)> = None;
+        let candidates: Vec<usize> = self.allowed(job).collect();
+        for i in candidates {
+            if !self.room(i).fits(&need) {
+                continue;
+            }
+            if !self.zone_allowed(job, &self.machines[i].zone) {
+                zone_blocked = true;
+                continue;
+            }
+            let m = self.machines[i];
+            let fetch_s = self.fetch_s(job, m);
+            let end = self.now + fetch_s + job.predicted_s;
+            let delays = head.as_ref().is_some_and(|h| !h.allows(i, &need, end));
+            if delays && !guaranteed {
+                continue;
+            }
+            let kind = if m.spot { 0.0 } else { 1.0 };
+            let cost = fetch_s + kind + self.free_share(i);
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, i));
+            }
+        }
+        let Some((_, i)) = best else {
+            return Err(match zone_blocked {
+                true => Blocked::Rule,
+                false => Blocked::Room,
+            });
+        };
+        if let Some(head) = head.as_mut() {
+            let end = self.now + self.fetch_s(job, self.machines[i]) + job.predicted_s;
+            head.admit(i, &need, end);
+        }
+        self.plan(job, task, i, false);
+        Ok(())
+    }
+
+    /// All tasks of a gang, or none.
+    pub fn place_gang(
+        &mut self,
+        job: &Job,
+        mut head: Option<&mut Reservation>,
+    ) -> Result<(), Blocked> {
+        let tasks: Vec<u32> = job.unplaced().collect();
+        if !self.within_limit(job, tasks.len() as u32) {
+            return Err(Blocked::Rule);
+        }
+        let need = job.need();
+        let end = self.now + job.predicted_s;
+        let mut zones: Vec<Option<Name>> = vec![None];
+        if job.spec.one_zone {
+            let all: HashSet<Name> = self.machines.iter().map(|m| m.zone.clone()).collect();
+            zones = all.into_iter().map(Some).collect();
+            zones.sort();
+        }
+        let most_in_zone = match job.spec.spread {
+            true => job.spec.tasks.div_ceil(2),
+            false => u32::MAX,
+        };
+        for zone in zones {
+            let mut chosen = Vec::new();
+            let mut in_zone: HashMap<Name, u32> = HashMap::new();
+            let mut machines: Vec<usize> = self
+                .allowed(job)
+                .filter(|i| zone.as_ref().is_none_or(|z| *z == self.machines[*i].zone))
+                .filter(|i| head.as_ref().is_none_or(|h| h.allows(*i, &need, end)))
+                .collect();
+            machines.sort_by_key(|i| std::cmp::Reverse(self.room(*i).slots(&need)));
+            for i in machines {
+                let here = in_zone.entry(self.machines[i].zone.clone()).or_default();
+                let free = self.room(i).slots(&need).min(most_in_zone - *here);
+                let missing = tasks.len() - chosen.len();
+                let count = (free as usize).min(missing);
+                *here += count as u32;
+                chosen.extend(std::iter::repeat_n(i, count));
+            }
+            if chosen.len() == tasks.len() {
+                for (task, i) in tasks.iter().zip(chosen) {
+                    if let Some(head) = head.as_mut() {
+                        head.admit(i, &need, end);
+                    }
+                    self.plan(job, *task, i, true);
+                }
+                return Ok(());
+            }
+        }
+        Err(Blocked::Room)
+    }
+}
+
+/// Whether the job's description lets its tasks use the machine.
+pub(super) fn may_use(job: &Job, m: &Machine) -> bool {
+    let spec = &job.spec;
+    let kind = spec
+        .types
+        .as_ref()
+        .is_none_or(|t| t.iter().any(|t| **t == *m.kind));
+    let zone = spec.zone.as_ref().is_none_or(|z| **z == *m.zone);
+    kind && zone && (spec.spot || !m.spot)
+}
+
+impl Core {
+    /// What is free on a machine: all that is or may be there counts, but for what a stop in the
+    /// same message ends at once.
+    pub(super) fn free_room(&self, m: &Machine) -> Room {
+        let Some(kind) = self.type_of(&m.kind) else {
+            return Room::default();
+        };
+        let mut room = Room::of_type(kind);
+        for (_, place) in m.live() {
+            if !place.leaves_at_once() {
+                room.take(&place.need);
+            }
+        }
+        room
+    }
+}
--- /dev/null
+++ b/src/coordination/predict.rs
@@ -0,0 +1,143 @@
+//! Run times predicted by regression, as in section 4 of the paper.
+//!
+//! A polynomial of degree 2 over few features, learned on-line by the Normalized Adaptive Gradient
+//! with an l2 penalty, so that features may come in any scale. The loss is the paper's Eq. 3 with
+//! the weight log(q·p): errors above the real run time are squared, those below count linearly.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// Predictions stay between this and the owner's estimate.
+const FLOOR_S: f64 = 60.0;
+/// The paper's steps by which the prediction of an overrunning job rises.
+const STEPS_S: [f64; 11] = [
+    60.0, 300.0, 900.0, 1800.0, 3600.0, 7200.0, 18000.0, 36000.0, 72000.0, 180000.0, 360000.0,
+];
+const RATE: f64 = 0.5;
+const PENALTY: f64 = 1e-4;
+/// The least weight of a job: the logarithm of a small job's area may be negative.
+const LEAST_WEIGHT: f64 = 0.1;
+const FEATURES: usize = 6;
+const TERMS: usize = 1 + FEATURES + FEATURES * (FEATURES + 1) / 2;
+/// Run times of an owner that are remembered.
+const RECENT: usize = 3;
+
+#[derive(Default, Clone, Debug)]
+struct History {
+    recent: VecDeque<f64>,
+    count: u64,
+}
+
+/// The learner, with the recent run times of each team's classes of jobs.
+pub struct Predictor {
+    weights: [f64; TERMS],
+    scales: [f64; TERMS],
+    gradients: [f64; TERMS],
+    norm: f64,
+    steps: f64,
+    owners: BTreeMap<String, History>,
+}
+
+impl Default for Predictor {
+    fn default() -> Self {
+        Predictor {
+            weights: [0.0; TERMS],
+            scales: [0.0; TERMS],
+            gradients: [0.0; TERMS],
+            norm: 0.0,
+            steps: 0.0,
+            owners: BTreeMap::new(),
+        }
+    }
+}
+
+impl Predictor {
+    fn terms(&self, owner: &str, estimate_s: f64, size: f64) -> [f64; TERMS] {
+        let history = self.owners.get(owner).cloned().unwrap_or_default();
+        let mut x = [0.0; FEATURES];
+        x[0] = estimate_s;
+        x[1] = size;
+        for (i, run) in history.recent.iter().enumerate() {
+            x[2 + i] = *run;
+        }
+        x[5] = history.recent.iter().sum::<f64>() / history.recent.len().max(1) as f64;
+        let mut terms = [0.0; TERMS];
+        terms[0] = 1.0;
+        terms[1..=FEATURES].copy_from_slice(&x);
+        let mut at = FEATURES + 1;
+        for i in 0..FEATURES {
+            for j in i..FEATURES {
+                terms[at] = x[i] * x[j];
+                at += 1;
+            }
+        }
+        terms
+    }
+
+    fn value(&self, terms: &[f64; TERMS]) -> f64 {
+        self.weights.iter().zip(terms).map(|(w, x)| w * x).sum()
+    }
+
+    /// The predicted run time; the estimate until some of the owner's jobs have finished.
+    pub fn predict(&self, owner: &str, estimate_s: f64, size: f64) -> f64 {
+        if self.owners.get(owner).is_none_or(|h| h.count == 0) {
+            return estimate_s;
+        }
+        let value = self.value(&self.terms(owner, estimate_s, size));
+        if !value.is_finite() {
+            return estimate_s;
+        }
+        value.max(FLOOR_S).min(estimate_s)
+    }
+
+    /// Learns from a job that ended by itself.
+    pub fn learn(&mut self, owner: &str, estimate_s: f64, size: f64, run_s: f64) {
+        let terms = self.terms(owner, estimate_s, size);
+        self.steps += 1.0;
+        for (i, x) in terms.iter().enumerate() {
+            let x = x.abs();
+            if x > self.scales[i] {
+                if self.scales[i] > 0.0 {
+                    self.weights[i] *= (self.scales[i] / x).powi(2);
+                }
+                self.scales[i] = x;
+            }
+            if self.scales[i] > 0.0 {
+                self.norm += (x / self.scales[i]).powi(2);
+            }
+        }
+        let error = self.value(&terms) - run_s;
+        let weight = (size.max(0.0) * run_s).ln().max(LEAST_WEIGHT);
+        let slope = match error >= 0.0 {
+            true => 2.0 * error * weight,
+            false => -weight,
+        };
+        let rate = RATE * (self.steps / self.norm.max(f64::MIN_POSITIVE)).sqrt();
+        for (i, x) in terms.iter().enumerate() {
+            if self.scales[i] <= 0.0 {
+                continue;
+            }
+            let gradient = slope * x + 2.0 * PENALTY * self.weights[i];
+            self.gradients[i] += gradient * gradient;
+            if self.gradients[i] > 0.0 {
+                self.weights[i] -= rate * gradient / (self.scales[i] * self.gradients[i].sqrt());
+            }
+        }
+        let history = self.owners.entry(owner.to_string()).or_default();
+        history.count += 1;
+        history.recent.push_front(run_s);
+        history.recent.truncate(RECENT);
+    }
+}
+
+/// What is predicted of a job that has run for `elapsed_s`: raised by the paper's steps while it
+/// overruns, and never above the estimate.
+pub fn corrected(predicted_s: f64, elapsed_s: f64, estimate_s: f64) -> f64 {
+    let mut prediction = predicted_s;
+    for step in STEPS_S {
+        if elapsed_s < prediction || prediction >= estimate_s {
+            break;
+        }
+        prediction += step;
+    }
+    prediction.min(estimate_s.max(predicted_s))
+}
--- /dev/null
+++ b/src/coordination/queue.rs
@@ -0,0 +1,229 @@
+//! One pass over what waits: services first, then the queue in its order with backfilling.
+
+use super::backfill::{reserve, Frees, Reservation};
+use super::core::Core;
+use super::placement::Pass;
+use super::predict::corrected;
+use super::state::*;
+use super::Time;
+use crate::protocol::job::{Kind, Priority};
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use tracing::info;
+
+/// Why a job's next task was not placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Blocked {
+    /// Its team's limit, a rule about zones, or a pause after failures: it holds up nobody else.
+    Rule,
+    Room,
+}
+
+impl Core {
+    /// Decides what to place now. Plans are recorded before any launch leaves.
+    pub(super) fn schedule(&mut self, now: Time) {
+        if self.types.is_empty() || !self.jobs.values().any(|j| waits(j, now)) {
+            return;
+        }
+        let mut pass = Pass::new(self, now);
+        let mut services: Vec<&Job> = Vec::new();
+        let mut queue: Vec<&Job> = Vec::new();
+        for job in self.jobs.values().filter(|j| waits(j, now)) {
+            match job.is_service() {
+                true => services.push(job),
+                false => queue.push(job),
+            }
+        }
+        services.sort_by_key(|j| (Reverse(j.spec.priority), j.seq));
+        for job in services {
+            for task in job.unplaced() {
+                if pass.place_service(job, task).is_err() {
+                    break;
+                }
+            }
+        }
+        pass.keep_warm();
+        let within = self.within_guarantee();
+        let rank = |j: &Job| !within.get(&j.id).copied().unwrap_or(false);
+        queue.sort_by_key(|j| (rank(j), Reverse(j.spec.priority), j.seq));
+        self.place_queue(&mut pass, &queue, &|j| !rank(j));
+        let plans = pass.finish();
+        for stop in plans.stops {
+            let grace_s = self.grace(&stop.1);
+            self.stop(&stop.0, &stop.1, grace_s, now);
+        }
+        let mut gangs: HashMap<Name, u64> = HashMap::new();
+        for plan in plans.places {
+            let fresh = self.unique();
+            let attempt = match plan.gang {
+                true => *gangs.entry(plan.job.clone()).or_insert(fresh),
+                false => fresh,
+            };
+            self.add_place(
+                &plan.job,
+                plan.task,
+                &plan.machine,
+                attempt,
+                Stage::Planned,
+                now,
+            );
+        }
+    }
+
+    fn grace(&self, key: &PlaceKey) -> f64 {
+        match self.jobs.get(&key.0) {
+            Some(job) if job.spec.checkpoint_s > 0.0 && !job.cancelled => job.spec.save_s,
+            _ => 0.0,
+        }
+    }
+
+    fn place_queue(&self, pass: &mut Pass, queue: &[&Job], guaranteed: &dyn Fn(&Job) -> bool) {
+        let mut head: Option<Reservation> = None;
+        let mut rest = Vec::new();
+        for (i, job) in queue.iter().enumerate() {
+            match self.place_job(pass, job, None, guaranteed(job)) {
+                Ok(()) | Err(Blocked::Rule) => {}
+                Err(Blocked::Room) => {
+                    head = self.reservation(pass, job);
+                    rest = queue[i + 1..].to_vec();
+                    break;
+                }
+            }
+        }
+        // Guaranteed work need not wait on other teams, hence not on their reservation.
+        rest.sort_by(|a, b| {
+            let key = |j: &Job| (!guaranteed(j), j.predicted_s);
+            let (a_key, b_key) = (key(a), key(b));
+            a_key
+                .0
+                .cmp(&b_key.0)
+                .then(a_key.1.total_cmp(&b_key.1))
+                .then(a.seq.cmp(&b.seq))
+        });
+        for job in rest {
+            let _ = self.place_job(pass, job, head.as_mut(), guaranteed(job));
+        }
+    }
+
+    /// Places as many tasks of a job as can be.
+    fn place_job(
+        &self,
+        pass: &mut Pass,
+        job: &Job,
+        mut head: Option<&mut Reservation>,
+        guaranteed: bool,
+    ) -> Result<(), Blocked> {
+        if job.spec.kind == Kind::Gang {
+            return match job.live {
+                0 => pass.place_gang(job, head),
+                _ => Ok(()),
+            };
+        }
+        for task in job.unplaced() {
+            pass.place_task(job, task, head.as_deref_mut(), guaranteed)?;
+        }
+        Ok(())
+    }
+
+    /// Where the head starts, by the predicted ends of what runs.
+    fn reservation(&self, pass: &Pass, job: &Job) -> Option<Reservation> {
+        let machines = pass.allowed(job).map(|i| {
+            let m = pass.machine(i);
+            let ends = m
+                .live()
+                .map(|(key, p)| (self.predicted_end(key, p, pass.now), p.need));
+            Frees {
+                machine: i,
+                room: pass.room(i),
+                ends: ends.filter(|(end, _)| end.is_finite()).collect(),
+            }
+        });
+        let found = reserve(pass.now, &job.need(), machines.collect());
+        if let Some(r) = found {
+            let name = &pass.machine(r.machine).name;
+            tracing::debug!(
+                "{}: waits, reserved on {name} in {:.0} s",
+                job.id,
+                r.at - pass.now
+            );
+        }
+        found
+    }
+
+    /// When a place is predicted to come free; never, for a service.
+    pub(super) fn predicted_end(&self, key: &PlaceKey, place: &Place, now: Time) -> Time {
+        let Some(job) = self.jobs.get(&key.0).filter(|j| !j.is_service()) else {
+            return f64::INFINITY;
+        };
+        let start = place.running_since.unwrap_or(now);
+        let elapsed = now - start;
+        let total = corrected(job.predicted_s, elapsed, job.spec.estimate_s);
+        (start + total).max(now)
+    }
+
+    /// Which jobs fit into their team's guarantee along with its earlier unfinished ones.
+    pub(super) fn within_guarantee(&self) -> HashMap<Name, bool> {
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        jobs.sort_by_key(|j| j.seq);
+        let mut sums: HashMap<&str, (f64, f64)> = HashMap::new();
+        let mut within = HashMap::new();
+        for job in jobs {
+            let Some(team) = self.team(&job.spec.team) else {
+                continue;
+            };
+            let sum = sums.entry(&job.spec.team).or_default();
+            let tasks = (job.tasks.len() as u32 - job.done) as f64;
+            sum.0 += tasks * job.spec.cpus;
+            sum.1 += tasks * job.spec.gpus;
+            let fits = sum.0 <= team.cpus && sum.1 <= team.gpus;
+            within.insert(job.id.clone(), fits);
+        }
+        within
+    }
+
+    /// Tells why jobs stall: for people who read the log.
+    pub(super) fn explain_stalls(&self, now: Time) {
+        let silence_s = self.silence_s();
+        let up = self
+            .machines
+            .values()
+            .filter(|m| m.takes_tasks(now, silence_s))
+            .count();
+        let waiting: u32 = self
+            .jobs
+            .values()
+            .filter(|j| waits(j, now))
+            .map(Job::unplaced_count)
+            .sum();
+        if waiting == 0 {
+            return;
+        }
+        let oldest = self
+            .jobs
+            .values()
+            .filter(|j| waits(j, now))
+            .min_by_key(|j| j.seq);
+        if let Some(job) = oldest {
+            let (cpus, most) = (
+                self.team_use.get(&job.spec.team).map_or(0.0, |u| u.0),
+                self.team(&job.spec.team).map_or(0.0, |t| t.cpus_max),
+            );
+            info!(
+                "{waiting} tasks wait on {up} of {} machines; the oldest is {}, {:.0} s: \
+                 its team uses {cpus} CPUs of at most {most}",
+                self.machines.len(),
+                job.id,
+                now - job.arrived
+            );
+        }
+    }
+}
+
+fn waits(job: &Job, now: Time) -> bool {
+    !job.cancelled && now >= job.retry_at && job.unplaced_count() > 0
+}
+
+/// Whether work may be stopped for other work of a higher priority.
+pub(super) fn outranks(a: Priority, b: Priority) -> bool {
+    a > b
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    stairstage::cli::main()
+}
--- /dev/null
+++ b/src/service/controller.rs
@@ -0,0 +1,498 @@
+//! The actor that owns the picture of the cluster: a [`Core`] while this node leads.
+
+use super::busy;
+use super::gateway::Task;
+use super::workers::{CloudCall, Pool};
+use crate::bookkeeping::index::EndIndex;
+use crate::bookkeeping::records::{OpenRecord, MACHINE, OPEN, RUN};
+use crate::bookkeeping::store::{Store, Unavailable};
+use crate::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use crate::coordination::election::{News, Wish};
+use crate::coordination::recovery::Records;
+use crate::coordination::state::Name;
+use crate::coordination::Time;
+use crate::protocol::cloud::{ListedMachine, MachineType};
+use crate::protocol::job::{JobState, JobStatus};
+use crate::protocol::worker::{Elsewhere, Report, ReportAnswer};
+use crate::settings::Settings;
+use crate::transport::peers::Peers;
+use crate::transport::{Reply, Respond};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::{debug, info, warn};
+
+pub enum Message {
+    News(News),
+    Report {
+        report: Box<Report>,
+        body: Vec<u8>,
+        passed_on: bool,
+        respond: Respond,
+    },
+    /// What is known of a job here, and who leads.
+    Locate(String, Sender<Located>),
+    /// A job was accepted or cancelled, as its record says.
+    Opened(Box<OpenRecord>, u64),
+    Ended(String, JobState),
+    Loaded(u64, Records),
+    Written(u64, Written),
+    Ordered(Name, Ordered),
+    Rented(String, Option<Vec<String>>),
+    Returned(Vec<String>, bool),
+    Listed(Vec<ListedMachine>),
+    Types(Vec<MachineType>),
+}
+
+/// What the controller tells the gateway.
+pub struct Located {
+    /// The job's state, if this node can be sure of it.
+    pub status: Option<JobStatus>,
+    /// Whether this node leads, and its picture is current.
+    pub leads: bool,
+    pub leader: Option<String>,
+    pub types: Arc<Vec<MachineType>>,
+}
+
+/// Hands a worker's report to the controller, or answers at once when it has no room.
+pub fn offer_report(inbox: &Sender<Message>, body: Vec<u8>, passed_on: bool, respond: Respond) {
+    let report: Report = match serde_json::from_slice(&body) {
+        Ok(report) => report,
+        Err(error) => {
+            warn!("a report cannot be read: {error}");
+            return respond(Reply::error(400, "the report cannot be read"));
+        }
+    };
+    let message = Message::Report {
+        report: Box::new(report),
+        body,
+        passed_on,
+        respond,
+    };
+    if let Err(TrySendError::Full(m) | TrySendError::Disconnected(m)) = inbox.try_send(message) {
+        if let Message::Report { respond, .. } = m {
+            respond(busy());
+        }
+    }
+}
+
+enum Role {
+    Follower,
+    /// Elected, and reading the records.
+    Recovering {
+        token: u64,
+        valid_until: Time,
+    },
+    Leading(Box<Core>),
+}
+
+pub struct Controller {
+    settings: Arc<Settings>,
+    epoch: Instant,
+    store: Store,
+    peers: Peers,
+    inbox: Sender<Message>,
+    stage: Sender<Task>,
+    wishes: Sender<Wish>,
+    pool: Pool,
+    role: Role,
+    /// The term whose watch goes on; others stop.
+    term: Arc<AtomicU64>,
+    leader: Option<String>,
+    ends: EndIndex,
+    types: Arc<Vec<MachineType>>,
+    /// Workers that were sent to the leader: how often of late, and when.
+    redirected: HashMap<String, (u32, Time)>,
+    ticked: Time,
+    listed: Time,
+}
+
+/// Messages taken in before the core decides again.
+const BATCH: usize = 64;
+const STEP: Duration = Duration::from_millis(20);
+/// Bytes that a remembered end takes, and the share of memory for them.
+const END_BYTES: f64 = 200.0;
+const END_SHARE: f64 = 0.1;
+/// The share of the time between a lapsed lease and the end of a cancellation in which a leader
+/// that is cut off goes on answering reports, so that the workers' tasks live on.
+const DOUBT_SHARE: f64 = 0.85;
+
+impl Controller {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        settings: Arc<Settings>,
+        epoch: Instant,
+        store: Store,
+        peers: Peers,
+        inbox: Sender<Message>,
+        stage: Sender<Task>,
+        wishes: Sender<Wish>,
+        pool: Pool,
+    ) -> Controller {
+        let bytes = settings.cluster.limits.ram_mb * 1e6 * END_SHARE;
+        Controller {
+            epoch,
+            store,
+            peers,
+            inbox,
+            stage,
+            wishes,
+            pool,
+            role: Role::Follower,
+            term: Arc::default(),
+            leader: None,
+            ends: EndIndex::new((bytes / END_BYTES) as usize),
+            types: Arc::default(),
+            redirected: HashMap::new(),
+            ticked: 0.0,
+            listed: 0.0,
+            settings,
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.epoch.elapsed().as_secs_f64()
+    }
+
+    pub fn run(mut self, messages: Receiver<Message>) {
+        loop {
+            match messages.recv_timeout(STEP) {
+                Ok(message) => {
+                    self.take(message);
+                    for message in messages.try_iter().take(BATCH) {
+                        self.take(message);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now();
+        let tick = now - self.ticked >= 1.0;
+        if tick {
+            self.ticked = now;
+            let keep = 8.0 * self.settings.cluster.workers.report_s;
+            self.redirected.retain(|_, (_, at)| now - *at < keep);
+        }
+        let Role::Leading(core) = &mut self.role else {
+            return;
+        };
+        if tick {
+            core.tick(now);
+            let lag = (self.settings.cluster.cloud.list_lag_s / 2.0).max(1.0);
+            if now - self.listed >= lag {
+                self.listed = now;
+                self.pool.cloud(CloudCall::List);
+            }
+        }
+        core.step(now);
+        let effects = core.take_effects();
+        let deposed = core.deposed;
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        if deposed {
+            self.step_down();
+            let _ = self.wishes.try_send(Wish::Resign);
+        }
+    }
+
+    fn step_down(&mut self) {
+        info!("leads no more");
+        self.role = Role::Follower;
+        self.term.store(0, Ordering::Relaxed);
+        self.leader = None;
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write { id, transaction } => self.pool.write(id, transaction),
+            Effect::Orders {
+                machine,
+                endpoint,
+                orders,
+            } => self.pool.order(machine, endpoint, orders),
+            Effect::Rent(rent) => self.pool.cloud(CloudCall::Rent(rent)),
+            Effect::Return(names) => self.pool.cloud(CloudCall::Return(names)),
+            Effect::RaiseToken => {
+                let _ = self.wishes.try_send(Wish::RaiseToken);
+            }
+            Effect::Ended { id, state } => self.ends.insert(&id, state),
+        }
+    }
+
+    fn core(&mut self) -> Option<&mut Core> {
+        match &mut self.role {
+            Role::Leading(core) => Some(core),
+            _ => None,
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::News(news) => self.news(news),
+            Message::Report {
+                report,
+                body,
+                passed_on,
+                respond,
+            } => self.report(*report, body, passed_on, respond),
+            Message::Locate(id, reply) => {
+                let _ = reply.try_send(self.locate(&id));
+            }
+            Message::Opened(record, version) => {
+                let wall = wall_ms();
+                if let Some(core) = self.core() {
+                    core.job_opened(*record, version, wall, now);
+                }
+            }
+            Message::Ended(id, state) => {
+                self.ends.insert(&id, state);
+                if let (JobState::Cancelled, Some(core)) = (state, self.core()) {
+                    core.cancel(&id, now);
+                }
+            }
+            Message::Loaded(token, records) => self.loaded(token, records),
+            Message::Written(id, result) => {
+                if let Some(core) = self.core() {
+                    core.written(id, result, now);
+                }
+            }
+            Message::Ordered(machine, result) => {
+                if let Some(core) = self.core() {
+                    core.ordered(&machine, result, now);
+                }
+            }
+            Message::Rented(request, machines) => {
+                if let Some(core) = self.core() {
+                    core.rented(&request, machines, now);
+                }
+            }
+            Message::Returned(names, confirmed) => {
+                if let Some(core) = self.core() {
+                    core.returned(&names, confirmed, now);
+                }
+            }
+            Message::Listed(list) => {
+                if let Some(core) = self.core() {
+                    core.listed(&list, now);
+                }
+            }
+            Message::Types(types) => {
+                if let Some(core) = self.core() {
+                    core.set_types(types.clone());
+                }
+                self.types = Arc::new(types);
+            }
+        }
+    }
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::Leader(leader) => {
+                if leader != self.leader {
+                    debug!("leader: {leader:?}");
+                }
+                self.leader = leader;
+            }
+            News::Elected { token } => {
+                info!("elected with token {token}");
+                self.leader = Some(self.settings.name.clone());
+                self.role = Role::Recovering {
+                    token,
+                    valid_until: self.now(),
+                };
+                self.term.store(token, Ordering::Relaxed);
+                self.load(token);
+            }
+            News::Lease { valid_until: until } => match &mut self.role {
+                Role::Recovering { valid_until, .. } => *valid_until = until,
+                Role::Leading(core) => core.valid_until = until,
+                Role::Follower => {}
+            },
+            News::TokenRaised(token) => {
+                let now = self.now();
+                if let Some(core) = self.core() {
+                    core.token_raised(token, now);
+                }
+            }
+            News::Deposed => {
+                if !matches!(self.role, Role::Follower) {
+                    self.step_down();
+                }
+            }
+        }
+    }
+
+    /// Reads the records, then follows new jobs, for as long as this term lasts.
+    fn load(&self, token: u64) {
+        let (store, inbox, term) = (self.store.clone(), self.inbox.clone(), self.term.clone());
+        let hold = Duration::from_secs_f64(self.settings.cluster.workers.report_s);
+        let body = move || {
+            let current = || term.load(Ordering::Relaxed) == token;
+            let read = || -> Result<(Records, u64), Unavailable> {
+                let (open, revision) = store.list(OPEN)?;
+                let records = Records {
+                    open,
+                    run: store.list(RUN)?.0,
+                    machines: store.list(MACHINE)?.0,
+                };
+                Ok((records, revision))
+            };
+            let mut after = loop {
+                if !current() {
+                    return;
+                }
+                match read() {
+                    Ok((records, revision)) => {
+                        let _ = inbox.send(Message::Loaded(token, records));
+                        break revision;
+                    }
+                    Err(Unavailable) => std::thread::sleep(Duration::from_millis(100)),
+                }
+            };
+            let opened = |key: &str, value, version| {
+                if let Ok(record) = serde_json::from_value::<OpenRecord>(value) {
+                    let _ = inbox.send(Message::Opened(Box::new(record), version));
+                } else {
+                    warn!("{key}: cannot be read");
+                }
+            };
+            while current() {
+                match store.watch(OPEN, after, hold) {
+                    Ok(Some(events)) => {
+                        after = after.max(events.revision);
+                        for event in events.events {
+                            if let Some(key) = event.put {
+                                opened(&key, event.value, event.version);
+                            }
+                        }
+                    }
+                    Ok(None) => {
+                        if let Ok((items, revision)) = store.list(OPEN) {
+                            after = revision;
+                            for item in items {
+                                opened(&item.key, item.value, item.version);
+                            }
+                        }
+                    }
+                    Err(Unavailable) => std::thread::sleep(Duration::from_millis(100)),
+                }
+            }
+        };
+        if let Err(error) = super::spawn("records", body) {
+            warn!("{error:#}");
+            let _ = self.wishes.try_send(Wish::Resign);
+        }
+    }
+
+    fn loaded(&mut self, token: u64, records: Records) {
+        let now = self.now();
+        match self.role {
+            Role::Recovering {
+                token: t,
+                valid_until,
+            } if t == token => {
+                let mut core = Core::new(self.settings.clone(), token, now);
+                core.valid_until = valid_until;
+                core.set_types(self.types.to_vec());
+                core.recover(records, wall_ms(), now);
+                self.role = Role::Leading(Box::new(core));
+                self.pool.cloud(CloudCall::List);
+                self.listed = now;
+            }
+            _ => {}
+        }
+    }
+
+    fn locate(&mut self, id: &str) -> Located {
+        let now = self.now();
+        let mut status = self.ends.get(id).map(|state| JobStatus {
+            id: id.to_string(),
+            state,
+            done: 0,
+            running: 0,
+        });
+        let mut leads = false;
+        if let Role::Leading(core) = &self.role {
+            leads = core.leads(now);
+            if leads && status.is_none() {
+                status = core.status(id);
+            }
+        }
+        Located {
+            status,
+            leads,
+            leader: self.leader.clone().filter(|l| *l != self.settings.name),
+            types: self.types.clone(),
+        }
+    }
+
+    fn report(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
+        let now = self.now();
+        let workers = &self.settings.cluster.workers;
+        let doubt_s = (workers.cancel_s - workers.lease_s).max(0.0) * DOUBT_SHARE;
+        let reply = match &mut self.role {
+            Role::Leading(core) if now < core.valid_until + doubt_s => {
+                match core.report(&report, now) {
+                    Heard::Answer(answer) => Reply::json(200, &answer),
+                    Heard::Stale => Reply::error(503, "an older report"),
+                    Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
+                }
+            }
+            Role::Recovering { token, .. } if report.token <= *token => {
+                let commands = Vec::new();
+                Reply::json(
+                    200,
+                    &ReportAnswer {
+                        token: *token,
+                        commands,
+                    },
+                )
+            }
+            _ => return self.redirect(report, body, passed_on, respond),
+        };
+        respond(reply);
+    }
+
+    /// Sends a worker to the leader, or passes its report on if it has come back from there.
+    fn redirect(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
+        let now = self.now();
+        let leader = self.leader.clone().filter(|l| *l != self.settings.name);
+        let Some(leader) = leader.filter(|_| !passed_on) else {
+            return respond(Reply::json(421, &Elsewhere { leader: None }));
+        };
+        let recent = 4.0 * self.settings.cluster.workers.report_s;
+        let entry = self.redirected.entry(report.machine).or_insert((0, now));
+        if now - entry.1 > recent {
+            entry.0 = 0;
+        }
+        *entry = (entry.0 + 1, now);
+        if entry.0 < 3 {
+            return respond(Reply::json(
+                421,
+                &Elsewhere {
+                    leader: Some(leader),
+                },
+            ));
+        }
+        super::gateway::offer(&self.stage, Task::pass_on(leader, body, respond));
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
+
+/// The time of day, for records.
+pub fn time_of_day_ms() -> u64 {
+    wall_ms()
+}
--- /dev/null
+++ b/src/service/mod.rs
@@ -0,0 +1,120 @@
+//! Starts the actors and joins them by channels.
+//!
+//! The [`controller`] owns the picture of the cluster; the election, the watch, the writers, the
+//! order senders and the cloud's callers each work on their own threads and speak to it by
+//! messages. Users' requests pass through the [`gateway`]'s stage, whose buffer is small: what
+//! does not fit is answered at once.
+
+pub mod controller;
+pub mod gateway;
+pub mod workers;
+
+use crate::bookkeeping::store::Store;
+use crate::coordination::election::{self, Election};
+use crate::settings::Settings;
+use crate::transport::front::{self, Call};
+use crate::transport::peers::{PeerCall, Peers};
+use crate::transport::Reply;
+use anyhow::Context;
+use controller::{Controller, Message};
+use crossbeam::channel::bounded;
+use gateway::{Gateway, Task};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Messages that may wait for the controller: a small share of the sockets that may be open.
+const INBOX: usize = 512;
+/// Users' requests that may wait, and how many are worked on at a time.
+const STAGE: usize = 64;
+const GATEWAYS: usize = 8;
+
+/// Runs a controller; returns only if it cannot start.
+pub fn run(settings: Settings) -> anyhow::Result<()> {
+    let settings = Arc::new(settings);
+    let epoch = Instant::now();
+    let (inbox, messages) = bounded::<Message>(INBOX);
+    let (stage, tasks) = bounded::<Task>(STAGE);
+
+    let (peer_inbox, peer_stage) = (inbox.clone(), stage.clone());
+    let peer_calls = move |call: PeerCall, respond| {
+        match call {
+            PeerCall::Ask(kind, job, body) => {
+                let call = gateway::call_of(kind, job, body);
+                gateway::offer(&peer_stage, Task::peer(call, respond));
+            }
+            PeerCall::Report(body) => controller::offer_report(&peer_inbox, body, true, respond),
+        };
+    };
+    let names: Vec<_> = settings
+        .peers
+        .iter()
+        .map(|p| (p.name.clone(), p.address))
+        .collect();
+    let peers = Peers::start(settings.cluster_listen, &names, Arc::new(peer_calls))
+        .context("cannot listen for peers")?;
+
+    let store = Store::new(settings.endpoints.state, GATEWAYS);
+    let (wishes, wished) = election::wishes();
+    let report_s = settings.cluster.workers.report_s;
+    let lease_s = (settings.policy.leader_lease * report_s)
+        .min(settings.cluster.workers.lease_s / 4.0)
+        .max(0.2);
+    let news_inbox = inbox.clone();
+    let election = Election {
+        store: store.clone(),
+        node: settings.name.clone(),
+        lease: Duration::from_secs_f64(lease_s),
+        epoch,
+        news: Box::new(move |news| {
+            let _ = news_inbox.send(Message::News(news));
+        }),
+        wishes: wished,
+    };
+    spawn("election", move || election.run())?;
+
+    for _ in 0..GATEWAYS {
+        let gateway = Gateway {
+            settings: settings.clone(),
+            store: store.clone(),
+            peers: peers.clone(),
+            controller: inbox.clone(),
+            tasks: tasks.clone(),
+            unreachable: Default::default(),
+        };
+        spawn("gateway", move || gateway.run())?;
+    }
+
+    let pool = workers::start(&settings, &store, &inbox)?;
+    let controller = Controller::new(
+        settings.clone(),
+        epoch,
+        store,
+        peers,
+        inbox.clone(),
+        stage.clone(),
+        wishes,
+        pool,
+    );
+    let handler = move |call: Call, respond: crate::transport::Respond| match call {
+        Call::Report(body) => controller::offer_report(&inbox, body, false, respond),
+        call => gateway::offer(&stage, Task::user(call, respond)),
+    };
+    front::serve(settings.front, Arc::new(handler)).context("cannot listen for users")?;
+    tracing::info!("{} serves on {}", settings.name, settings.front);
+    controller.run(messages);
+    anyhow::bail!("the controller has stopped")
+}
+
+pub(crate) fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> anyhow::Result<()> {
+    std::thread::Builder::new()
+        .name(name.into())
+        .stack_size(256 * 1024)
+        .spawn(body)
+        .with_context(|| format!("cannot start thread {name}"))?;
+    Ok(())
+}
+
+/// What is answered when a stage is full.
+pub(crate) fn busy() -> Reply {
+    Reply::later("too much is asked at once")
+}
--- /dev/null
+++ b/src/service/workers.rs
@@ -0,0 +1,231 @@
+//! The threads that speak to the state service, the workers and the cloud for the controller.
+
+use super::controller::Message;
+use super::spawn;
+use crate::bookkeeping::store::{Outcome, Store};
+use crate::coordination::core::{Ordered, Written};
+use crate::coordination::state::Name;
+use crate::protocol::cloud::*;
+use crate::protocol::store::Transaction;
+use crate::protocol::worker::{Orders, Report};
+use crate::settings::Settings;
+use crate::transport::client::{Answer, Client};
+use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
+use serde_json::json;
+use std::time::Duration;
+use tracing::{debug, warn};
+
+pub enum CloudCall {
+    Rent(Rent),
+    Return(Vec<String>),
+    List,
+}
+
+/// The channels to those threads.
+pub struct Pool {
+    inbox: Sender<Message>,
+    writes: Sender<(u64, Transaction)>,
+    orders: Sender<(Name, String, Orders)>,
+    cloud: Sender<CloudCall>,
+}
+
+const WRITERS: usize = 3;
+/// Each may wait for a machine that hangs: together they must outnumber those that do.
+const ORDERERS: usize = 12;
+const CLOUD_CALLERS: usize = 3;
+const QUEUE: usize = 256;
+/// A worker answers at once or hangs; its own reports bring what direct commands could not.
+const ORDER_PATIENCE: Duration = Duration::from_millis(1500);
+const CLOUD_PATIENCE: Duration = Duration::from_secs(4);
+const CLOUD_TRIES: u32 = 6;
+const MOST_REPORT: u64 = 1024 * 1024;
+const MOST_LIST: u64 = 4 * 1024 * 1024;
+
+pub fn start(settings: &Settings, store: &Store, inbox: &Sender<Message>) -> anyhow::Result<Pool> {
+    let (writes, to_write) = bounded(QUEUE);
+    let (orders, to_order) = bounded(QUEUE);
+    let (cloud, to_cloud) = bounded(QUEUE);
+    for _ in 0..WRITERS {
+        let (store, jobs, inbox) = (store.clone(), to_write.clone(), inbox.clone());
+        spawn("writer", move || write_all(&store, &jobs, &inbox))?;
+    }
+    let machines = Client::new(settings.endpoints.state, ORDERERS, MOST_REPORT);
+    for _ in 0..ORDERERS {
+        let (client, jobs, inbox) = (machines.clone(), to_order.clone(), inbox.clone());
+        spawn("orders", move || order_all(&client, &jobs, &inbox))?;
+    }
+    let client = Client::new(settings.endpoints.cloud, CLOUD_CALLERS, MOST_LIST);
+    for _ in 0..CLOUD_CALLERS {
+        let (client, jobs, inbox) = (client.clone(), to_cloud.clone(), inbox.clone());
+        spawn("cloud", move || call_cloud(&client, &jobs, &inbox))?;
+    }
+    let pause = Duration::from_secs_f64(settings.cluster.cloud.list_lag_s.max(1.0) * 4.0);
+    let types_inbox = inbox.clone();
+    spawn("types", move || loop {
+        match client
+            .get("/machine_types", CLOUD_PATIENCE)
+            .ok::<MachineTypes>()
+        {
+            Some(answer) => {
+                let _ = types_inbox.send(Message::Types(answer.types));
+                std::thread::sleep(pause);
+            }
+            None => std::thread::sleep(Duration::from_secs(1)),
+        }
+    })?;
+    Ok(Pool {
+        inbox: inbox.clone(),
+        writes,
+        orders,
+        cloud,
+    })
+}
+
+impl Pool {
+    pub fn write(&self, id: u64, transaction: Transaction) {
+        if self.writes.try_send((id, transaction)).is_err() {
+            let _ = self.inbox.try_send(Message::Written(id, Written::Refused));
+        }
+    }
+
+    pub fn order(&self, machine: Name, endpoint: String, orders: Orders) {
+        let sent = self.orders.try_send((machine, endpoint, orders));
+        if let Err(TrySendError::Full((machine, ..)) | TrySendError::Disconnected((machine, ..))) =
+            sent
+        {
+            let _ = self
+                .inbox
+                .try_send(Message::Ordered(machine, Ordered::NotSent));
+        }
+    }
+
+    pub fn cloud(&self, call: CloudCall) {
+        if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) =
+            self.cloud.try_send(call)
+        {
+            let message = match call {
+                CloudCall::Rent(rent) => Message::Rented(rent.request, None),
+                CloudCall::Return(names) => Message::Returned(names, false),
+                CloudCall::List => return,
+            };
+            let _ = self.inbox.try_send(message);
+        }
+    }
+}
+
+fn write_all(store: &Store, jobs: &Receiver<(u64, Transaction)>, inbox: &Sender<Message>) {
+    for (id, transaction) in jobs {
+        let result = match store.commit(&transaction) {
+            Outcome::Applied(revision) => Written::Applied(revision),
+            Outcome::Refused | Outcome::NoLease => Written::Refused,
+            Outcome::Conflict(_) | Outcome::Unknown => Written::Reread(reread(store, &transaction)),
+        };
+        let _ = inbox.send(Message::Written(id, result));
+    }
+}
+
+/// Reads what the keys of a transaction's conditions hold, for as long as that takes.
+fn reread(store: &Store, txn: &Transaction) -> Vec<(String, Option<crate::protocol::store::Item>)> {
+    let mut items = Vec::new();
+    for condition in &txn.conditions {
+        loop {
+            match store.get(&condition.key) {
+                Ok(item) => break items.push((condition.key.clone(), item)),
+                Err(_) => std::thread::sleep(Duration::from_millis(200)),
+            }
+        }
+    }
+    items
+}
+
+fn order_all(client: &Client, jobs: &Receiver<(Name, String, Orders)>, inbox: &Sender<Message>) {
+    for (machine, endpoint, orders) in jobs {
+        let answer = client
+            .at(&endpoint)
+            .post("/orders", &orders, ORDER_PATIENCE);
+        let result = match answer {
+            Answer::Response(200, _) => match answer.ok::<Report>() {
+                Some(report) => Ordered::Executed(report),
+                None => Ordered::Unknown,
+            },
+            Answer::Response(409, body) => Ordered::Rejected(serde_json::from_slice(&body).ok()),
+            Answer::Response(400, _) => Ordered::Rejected(None),
+            Answer::NotSent => Ordered::NotSent,
+            Answer::Response(..) | Answer::Unknown => Ordered::Unknown,
+        };
+        let _ = inbox.send(Message::Ordered(machine, result));
+    }
+}
+
+fn call_cloud(client: &Client, jobs: &Receiver<CloudCall>, inbox: &Sender<Message>) {
+    for call in jobs {
+        let message = match call {
+            CloudCall::Rent(rent) => {
+                let machines = rent_machines(client, &rent);
+                Some(Message::Rented(rent.request, machines))
+            }
+            CloudCall::Return(names) => {
+                let confirmed = return_machines(client, &names);
+                Some(Message::Returned(names, confirmed))
+            }
+            CloudCall::List => list_machines(client).map(Message::Listed),
+        };
+        if let Some(message) = message {
+            let _ = inbox.send(message);
+        }
+    }
+}
+
+/// Waits longer before each further try.
+fn back_off(attempt: u32) {
+    std::thread::sleep(Duration::from_millis(300) * (attempt + 1));
+}
+
+/// `None` when the cloud gave no answer. The same request may be repeated: it rents only once.
+fn rent_machines(client: &Client, rent: &Rent) -> Option<Vec<String>> {
+    for attempt in 0..CLOUD_TRIES {
+        match client.post("/machines", rent, CLOUD_PATIENCE) {
+            Answer::Response(200, body) => {
+                let names: Option<MachineNames> = serde_json::from_slice(&body).ok();
+                return names.map(|n| n.machines);
+            }
+            Answer::Response(503, body) if String::from_utf8_lossy(&body).contains("capacity") => {
+                return Some(Vec::new());
+            }
+            Answer::Response(400, body) => {
+                warn!("rental refused: {}", String::from_utf8_lossy(&body));
+                return Some(Vec::new());
+            }
+            answer => debug!("{}: no answer to a rental: {answer:?}", rent.request),
+        }
+        back_off(attempt);
+    }
+    None
+}
+
+fn return_machines(client: &Client, names: &[String]) -> bool {
+    let body = json!({"fleet": names});
+    for attempt in 0..CLOUD_TRIES {
+        if let Answer::Response(200, _) = client.post("/machines/return", &body, CLOUD_PATIENCE) {
+            return true;
+        }
+        back_off(attempt);
+    }
+    false
+}
+
+fn list_machines(client: &Client) -> Option<Vec<ListedMachine>> {
+    let mut machines: Vec<ListedMachine> = Vec::new();
+    loop {
+        let after = machines
+            .last()
+            .map_or(String::new(), |m| format!("after={}&", m.name));
+        let path = format!("/machines?{after}limit={LIST_PAGE}");
+        let page: MachineList = client.get(&path, CLOUD_PATIENCE).ok()?;
+        let empty = page.machines.is_empty();
+        machines.extend(page.machines);
+        if !page.more || empty {
+            return Some(machines);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/peers.rs
@@ -0,0 +1,203 @@
+//! gRPC between the controllers. Tonic's runtime has one thread and stays in this module.
+
+use super::{Reply, Respond};
+use crossbeam::channel::bounded;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tonic::transport::{Channel, Endpoint, Server};
+use tonic::{Request, Response, Status};
+
+#[allow(clippy::all)]
+pub mod wire {
+    tonic::include_proto!("stairstage.peer");
+}
+
+pub use wire::ask_request::Kind;
+use wire::peer_client::PeerClient;
+use wire::peer_server::{Peer, PeerServer};
+use wire::{AskReply, AskRequest, PingReply, PingRequest, ReportReply, ReportRequest};
+
+/// What another controller asks for.
+#[derive(Debug)]
+pub enum PeerCall {
+    Ask(Kind, String, Vec<u8>),
+    Report(Vec<u8>),
+}
+
+pub type PeerHandler = dyn Fn(PeerCall, Respond) + Send + Sync;
+
+struct Service {
+    handler: Arc<PeerHandler>,
+}
+
+/// How long a peer may take over a call before it is given up on.
+const PATIENCE: Duration = Duration::from_secs(4);
+const CONNECT: Duration = Duration::from_millis(400);
+/// The largest message: a body with what surrounds it.
+const MOST_BYTES: usize = 2 * crate::protocol::BODY_LIMIT;
+
+impl Service {
+    async fn call(&self, call: PeerCall) -> Result<Reply, Status> {
+        let (tx, rx) = tokio::sync::oneshot::channel();
+        (self.handler)(
+            call,
+            Box::new(move |reply| {
+                let _ = tx.send(reply);
+            }),
+        );
+        match tokio::time::timeout(PATIENCE, rx).await {
+            Ok(Ok(reply)) => Ok(reply),
+            _ => Err(Status::unavailable("no answer")),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn ask(&self, request: Request<AskRequest>) -> Result<Response<AskReply>, Status> {
+        let r = request.into_inner();
+        let reply = self.call(PeerCall::Ask(r.kind(), r.job, r.body)).await?;
+        Ok(Response::new(AskReply {
+            status: reply.status.into(),
+            body: reply.body.into_owned(),
+            retry_after: reply.retry_after.unwrap_or(0),
+        }))
+    }
+
+    async fn report(
+        &self,
+        request: Request<ReportRequest>,
+    ) -> Result<Response<ReportReply>, Status> {
+        let reply = self
+            .call(PeerCall::Report(request.into_inner().body))
+            .await?;
+        Ok(Response::new(ReportReply {
+            status: reply.status.into(),
+            body: reply.body.into_owned(),
+        }))
+    }
+
+    async fn ping(&self, _: Request<PingRequest>) -> Result<Response<PingReply>, Status> {
+        Ok(Response::new(PingReply {}))
+    }
+}
+
+/// The other controllers, each reached over one connection.
+#[derive(Clone)]
+pub struct Peers {
+    runtime: Handle,
+    channels: Arc<HashMap<String, Channel>>,
+}
+
+impl Peers {
+    /// Starts the runtime's thread, the server and the clients.
+    pub fn start(
+        listen: SocketAddr,
+        peers: &[(String, SocketAddr)],
+        handler: Arc<PeerHandler>,
+    ) -> std::io::Result<Peers> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let handle = runtime.handle().clone();
+        let mut channels = HashMap::new();
+        {
+            let _inside = runtime.enter();
+            for (name, address) in peers {
+                let endpoint = Endpoint::from_shared(format!("http://{address}"))
+                    .map_err(std::io::Error::other)?
+                    .connect_timeout(CONNECT)
+                    .timeout(PATIENCE);
+                channels.insert(name.clone(), endpoint.connect_lazy());
+            }
+        }
+        let service = PeerServer::new(Service { handler }).max_decoding_message_size(MOST_BYTES);
+        std::thread::Builder::new()
+            .name("peers".into())
+            .spawn(move || {
+                runtime.block_on(async move {
+                    loop {
+                        let server = Server::builder().add_service(service.clone());
+                        if let Err(error) = server.serve(listen).await {
+                            tracing::warn!("cannot serve peers: {error}");
+                        }
+                        tokio::time::sleep(CONNECT).await;
+                    }
+                })
+            })?;
+        Ok(Peers {
+            runtime: handle,
+            channels: Arc::new(channels),
+        })
+    }
+
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.channels.keys()
+    }
+
+    fn call<T, F>(&self, within: Duration, call: F) -> Option<T>
+    where
+        T: Send + 'static,
+        F: Future<Output = Result<Response<T>, Status>> + Send + 'static,
+    {
+        let (tx, rx) = bounded(1);
+        self.runtime.spawn(async move {
+            if let Ok(Ok(response)) = tokio::time::timeout(within, call).await {
+                let _ = tx.send(response.into_inner());
+            }
+        });
+        rx.recv().ok()
+    }
+
+    fn client(&self, name: &str) -> Option<PeerClient<Channel>> {
+        Some(PeerClient::new(self.channels.get(name)?.clone()))
+    }
+
+    /// Hands a user's request to another controller.
+    pub fn ask(
+        &self,
+        name: &str,
+        kind: Kind,
+        job: &str,
+        body: &[u8],
+        within: Duration,
+    ) -> Option<Reply> {
+        let mut client = self.client(name)?;
+        let request = AskRequest {
+            kind: kind.into(),
+            job: job.to_string(),
+            body: body.to_vec(),
+        };
+        let reply = self.call(within, async move { client.ask(request).await })?;
+        Some(Reply {
+            status: reply.status as u16,
+            body: reply.body.into(),
+            retry_after: Some(reply.retry_after).filter(|s| *s > 0),
+        })
+    }
+
+    /// Hands a worker's report to the leader.
+    pub fn report(&self, name: &str, body: Vec<u8>, within: Duration) -> Option<Reply> {
+        let mut client = self.client(name)?;
+        let request = ReportRequest { body };
+        let reply = self.call(within, async move { client.report(request).await })?;
+        Some(Reply {
+            status: reply.status as u16,
+            body: reply.body.into(),
+            retry_after: None,
+        })
+    }
+
+    /// Whether another controller is up and can be reached.
+    pub fn ping(&self, name: &str, within: Duration) -> bool {
+        let Some(mut client) = self.client(name) else {
+            return false;
+        };
+        self.call(within, async move { client.ping(PingRequest {}).await })
+            .is_some()
+    }
+}
