--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -71,10 +71,12 @@
     Deposed,
 }
 
+/// A record on its way, with the places that it makes known.
+type SentChunk = (Name, usize, Vec<(Name, PlaceKey)>);
+
 #[derive(Default)]
 struct InFlight {
-    /// Records with the places that it makes known.
-    chunks: Vec<(Name, usize, Vec<(Name, PlaceKey)>)>,
+    chunks: Vec<SentChunk>,
     machines: Vec<Name>,
     ends: Option<Name>,
     removed: Vec<String>,
--- /dev/null
+++ b/tests/formats.rs
@@ -0,0 +1,209 @@
+//! Wire formats and settings under generated input.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use stairstage::protocol::job::{parse_task, JobSpec};
+use stairstage::protocol::worker::{Command, Report};
+use stairstage::settings::policy::Policy;
+use stairstage::settings::Settings;
+
+fn submission() -> Value {
+    json!({"name_id":"req-000412","duty":"train","crew":"vision","rig":"group",
+        "precedence":"urgent","legs":16,"cpus":8.0,"gpus":1.0,"mem_gb":64.0,"kit":"img-07",
+        "size_gb":6.2,"hulls":["g8"],"berth":null,"same_place":true,"spread":false,
+        "driftwood":true,"passage_s":240.0,"fix_interval_s":30.0,"fix_s":4.0,"due_s":900.0})
+}
+
+const SETTINGS: &str = r#"
+host_name = "a"
+zone = "z"
+front = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+unheard_of = 3
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[settings]
+initial_size = 3
+[settings.workers]
+report_s = 3.0
+lease_s = 34.0
+gang_wait_s = 45.0
+gang_peer_s = 4.0
+cancel_s = 59.0
+[settings.state]
+rps = 200.0
+write_rps = 60.0
+value_kb = 16.0
+txn_ops = 16
+[settings.cloud]
+rps = 4.0
+list_lag_s = 8.0
+[settings.limits]
+core_share = 0.16
+ram_mb = 136.0
+max_sockets = 2500
+"#;
+
+#[test]
+fn a_submission_survives_the_way_through_the_records() {
+    let spec = JobSpec::parse(submission().to_string().as_bytes()).unwrap();
+    let back: JobSpec = serde_json::from_value(serde_json::to_value(&spec).unwrap()).unwrap();
+    assert_eq!(spec, back);
+}
+
+#[test]
+fn every_missing_field_is_named_unless_it_may_be_null() {
+    let optional = ["hulls", "berth", "due_s"];
+    for field in submission().as_object().unwrap().keys() {
+        let mut body = submission();
+        body.as_object_mut().unwrap().remove(field);
+        let parsed = JobSpec::parse(body.to_string().as_bytes());
+        if optional.contains(&field.as_str()) {
+            assert!(parsed.is_ok(), "{field}");
+        } else {
+            assert_eq!(parsed.unwrap_err().field, field);
+        }
+    }
+}
+
+#[test]
+fn amounts_and_counts_out_of_range_are_refused() {
+    for (field, value) in [
+        ("legs", json!(0)),
+        ("legs", json!(100_001)),
+        ("legs", json!(2.5)),
+        ("cpus", json!(-1.0)),
+        ("mem_gb", json!("4")),
+        ("name_id", json!("run-1")),
+        ("name_id", json!("req-../x")),
+        ("rig", json!("array")),
+        ("hulls", json!("g8")),
+    ] {
+        let mut body = submission();
+        body[field] = value.clone();
+        let error = JobSpec::parse(body.to_string().as_bytes()).unwrap_err();
+        assert_eq!(error.field, field, "{value}");
+    }
+}
+
+#[test]
+fn commands_have_the_words_of_the_wire() {
+    let task = "req-1/4".to_string();
+    let commands = vec![
+        Command::Start {
+            task: task.clone(),
+            attempt: 2,
+        },
+        Command::Stop {
+            task: task.clone(),
+            attempt: 1,
+            grace_s: 10.0,
+        },
+        Command::Forget { task, attempt: 1 },
+    ];
+    assert_eq!(
+        serde_json::to_value(commands).unwrap(),
+        json!([{"signal":"launch","leg":"req-1/4","sailing":2},
+               {"signal":"stop","leg":"req-1/4","sailing":1,"heave_s":10.0},
+               {"signal":"forget","leg":"req-1/4","sailing":1}])
+    );
+}
+
+#[test]
+fn a_report_reads_as_the_protocol_shows_it() {
+    let report: Report = serde_json::from_value(json!({
+        "vessel":"m-000231","endpoint":"10.1.0.232:9000","hull":"g8","berth":"a",
+        "driftwood":true,"watch":1,"log_no":88,"helm":41,"recall_s":null,"news":1,
+        "legs":[{"leg":"req-000412/3","sailing":2,"status":"running"},
+                {"leg":"req-000398/0","sailing":1,"status":"exited","cause":"halted","kept":true}]
+    }))
+    .unwrap();
+    assert_eq!(report.tasks.len(), 2);
+    assert_eq!(report.tasks[1].saved, Some(true));
+}
+
+#[test]
+fn settings_are_checked_and_unknown_fields_ignored() {
+    assert!(Settings::parse("f.toml", SETTINGS).is_ok());
+    for (from, to, named) in [
+        (
+            "report_s = 3.0",
+            "report_s = 0.0",
+            "settings.workers.report_s = 0",
+        ),
+        (
+            "write_rps = 60.0",
+            "write_rps = -1.0",
+            "settings.state.write_rps = -1",
+        ),
+        ("txn_ops = 16", "txn_ops = 1", "settings.state.txn_ops = 1"),
+        (
+            "max_sockets = 2500",
+            "max_sockets = 3",
+            "settings.limits.max_sockets = 3",
+        ),
+        (
+            "front = \"127.0.0.1:8080\"",
+            "front = \"nowhere\"",
+            "nowhere",
+        ),
+    ] {
+        let error = Settings::parse("f.toml", &SETTINGS.replace(from, to)).unwrap_err();
+        let text = error.to_string();
+        assert!(text.contains("f.toml") && text.contains(named), "{text}");
+    }
+}
+
+#[test]
+fn the_operators_file_names_what_is_wrong() {
+    let policy = Policy::parse("p", "(policy (idle 2.0) ; a comment\n (spot no))").unwrap();
+    assert_eq!((policy.idle, policy.spot), (2.0, false));
+    for (text, named) in [
+        ("(policy (idle -1))", "idle = -1"),
+        ("(policy (ilde 1))", "ilde"),
+        ("(policy (spot 3))", "spot = 3"),
+        ("(policy idle)", "idle"),
+        ("(policy (idle 1", "p:"),
+        ("(plan)", "policy"),
+    ] {
+        let error = Policy::parse("p", text).unwrap_err().to_string();
+        assert!(error.contains(named), "{text}: {error}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn no_body_makes_the_parser_panic(body in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = JobSpec::parse(&body);
+    }
+
+    #[test]
+    fn a_mutilated_submission_is_read_or_refused(at in 0usize..330, byte in any::<u8>()) {
+        let mut body = submission().to_string().into_bytes();
+        let at = at % body.len();
+        body[at] = byte;
+        if let Ok(spec) = JobSpec::parse(&body) {
+            prop_assert!((1..=100_000).contains(&spec.tasks));
+            prop_assert!(spec.cpus.is_finite() && spec.cpus >= 0.0);
+        }
+    }
+
+    #[test]
+    fn task_names_are_read_back(job in "[0-9]{1,9}", task in 0u32..100_000) {
+        let name = format!("req-{job}/{task}");
+        prop_assert_eq!(parse_task(&name), Some((&name[..4 + job.len()], task)));
+    }
+
+    #[test]
+    fn no_task_name_makes_the_parser_panic(name in "\\PC*") {
+        let _ = parse_task(&name);
+    }
+
+    #[test]
+    fn no_operators_file_makes_the_parser_panic(text in "[()a-z0-9 .\"]{0,60}") {
+        let _ = Policy::parse("p", &text);
+    }
+}
