--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -103,7 +103,7 @@
     write_pause: Time,
     /// Until when the lease surely holds.
     pub valid_until: Time,
-    pub(super) leads_since: Time,
+    pub leads_since: Time,
     raised_at: Time,
     raising: bool,
     pub deposed: bool,
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -44,6 +44,8 @@
     Returned(Vec<String>, bool),
     Listed(Vec<ListedMachine>),
     Types(Vec<MachineType>),
+    /// Whether any other controller could be reached.
+    Probed(bool),
 }
 
 /// What the controller tells the gateway.
@@ -107,10 +109,15 @@
     redirected: HashMap<String, (u32, Time)>,
     ticked: Time,
     listed: Time,
+    /// When a worker last reported here, and whether peers are being asked because none does.
+    heard: Time,
+    probing: bool,
 }
 
 /// Messages taken in before the core decides again.
 const BATCH: usize = 64;
+/// Report intervals without a word from any worker, after which a leader doubts its network.
+const SILENT_REPORTS: f64 = 3.0;
 const STEP: Duration = Duration::from_millis(20);
 /// Bytes that a remembered end takes, and the share of memory for them.
 const END_BYTES: f64 = 200.0;
@@ -148,6 +155,8 @@
             redirected: HashMap::new(),
             ticked: 0.0,
             listed: 0.0,
+            heard: 0.0,
+            probing: false,
             settings,
         }
     }
@@ -194,6 +203,13 @@
         core.step(now);
         let effects = core.take_effects();
         let deposed = core.deposed;
+        // With machines, but no word from any, the fault may be this node's own network.
+        let deaf_s = SILENT_REPORTS * self.settings.cluster.workers.report_s;
+        let deaf = core.machine_count() > 0 && now - self.heard.max(core.leads_since) > deaf_s;
+        if tick && deaf && !self.probing {
+            self.probing = true;
+            self.probe();
+        }
         for effect in effects {
             self.carry_out(effect);
         }
@@ -203,6 +219,30 @@
         }
     }
 
+    /// Finds out whether any other controller can be reached.
+    fn probe(&self) {
+        let (peers, inbox) = (self.peers.clone(), self.inbox.clone());
+        let within = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 2.0);
+        let body = move || {
+            let reached = peers.names().any(|name| peers.ping(name, within));
+            let _ = inbox.send(Message::Probed(reached));
+        };
+        if let Err(error) = super::spawn("probe", body) {
+            warn!("{error:#}");
+        }
+    }
+
+    /// No worker and no peer can be reached, but the state service can: another node may have
+    /// the workers' ear, so it gets the chance to lead. A node that is alone takes it back.
+    fn probed(&mut self, reached: bool) {
+        self.probing = false;
+        if !reached && matches!(self.role, Role::Leading(_)) && !self.peers.is_empty() {
+            warn!("no worker and no peer is heard: hands over");
+            self.step_down();
+            let _ = self.wishes.try_send(Wish::Resign);
+        }
+    }
+
     fn step_down(&mut self) {
         info!("leads no more");
         self.role = Role::Follower;
@@ -285,6 +325,7 @@
                     core.listed(&list, now);
                 }
             }
+            Message::Probed(reached) => self.probed(reached),
             Message::Types(types) => {
                 if let Some(core) = self.core() {
                     core.set_types(types.clone());
@@ -437,6 +478,7 @@
 
     fn report(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
         let now = self.now();
+        self.heard = now;
         let workers = &self.settings.cluster.workers;
         let doubt_s = (workers.cancel_s - workers.lease_s).max(0.0) * DOUBT_SHARE;
         let reply = match &mut self.role {
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -135,6 +135,10 @@
         })
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.channels.is_empty()
+    }
+
     pub fn names(&self) -> impl Iterator<Item = &String> {
         self.channels.keys()
     }
