Ask for one rental per offer at a time, and merge demands of one shape

Cause: every job rented for itself, so a sold-out offer was asked for by each of them at once (1199 cloud calls on acdm steady, 322 refused for their rate).

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -82,6 +82,24 @@
     spot: bool,
 }
 
+/// Demands of the same shape and with the same choice of machines as one.
+fn merged(demands: Vec<Demand>) -> Vec<Demand> {
+    let mut merged: Vec<Demand> = Vec::new();
+    for demand in demands {
+        let same = merged.iter_mut().find(|m| {
+            let (a, b) = (&m.spec, &demand.spec);
+            m.spot == demand.spot
+                && Room::of(a) == Room::of(b)
+                && (&a.types, &a.zone) == (&b.types, &b.zone)
+        });
+        match same {
+            Some(m) => m.count += demand.count,
+            None => merged.push(demand),
+        }
+    }
+    merged
+}
+
 impl Core {
     pub(super) fn manage_fleet(&mut self, now: Time) {
         if self.types.is_empty() {
@@ -89,7 +107,7 @@
         }
         self.fleet.refused.retain(|_, until| *until > now);
         self.return_idle(now);
-        for demand in self.demands(now) {
+        for demand in merged(self.demands(now)) {
             self.rent_for(&demand);
         }
         self.explain_stalls(now);
@@ -216,7 +234,13 @@
         let need = Room::of(&demand.spec);
         let mut left = demand.count;
         let spec = &demand.spec;
-        let mut tried: Vec<(Name, Name, bool)> = Vec::new();
+        // An offer is asked for once at a time: its answer tells whether there is more.
+        let mut tried: Vec<(Name, Name, bool)> = self
+            .fleet
+            .renting
+            .values()
+            .map(|r| (r.kind.as_str().into(), r.zone.as_str().into(), r.spot))
+            .collect();
         while left > 0 {
             let mut best: Option<(f64, &MachineType, &String, bool, u32)> = None;
             for t in &self.types {
