--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -5,6 +5,7 @@
 //! - `open/ID`: the description, until the job's end
 //! - `end/ID`: how the job ended; write-once, kept for ever
 //! - `run/ID/CHUNK`: places, attempts and completed tasks of a range of tasks
+//! - `types`: the machine types that the cloud last told
 //! - `machine/NAME`: how to reach a machine that may hold tasks
 
 use crate::protocol::job::{JobSpec, JobState};
@@ -14,6 +15,7 @@
 pub const LEADER: &str = "leader";
 pub const OPEN: &str = "open/";
 pub const RUN: &str = "run/";
+pub const TYPES: &str = "types";
 pub const MACHINE: &str = "machine/";
 
 pub fn job_key(id: &str) -> String {
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -2,6 +2,7 @@
 
 use super::controller::Message;
 use super::spawn;
+use crate::bookkeeping::records::TYPES;
 use crate::bookkeeping::store::{Outcome, Store};
 use crate::coordination::core::{Ordered, Written};
 use crate::coordination::state::Name;
@@ -60,18 +61,9 @@
         spawn("cloud", move || call_cloud(&client, &jobs, &inbox))?;
     }
     let pause = Duration::from_secs_f64(settings.cluster.cloud.list_lag_s.max(1.0) * 4.0);
-    let types_inbox = inbox.clone();
-    spawn("types", move || loop {
-        match client
-            .get("/machine_types", CLOUD_PATIENCE)
-            .ok::<MachineTypes>()
-        {
-            Some(answer) => {
-                let _ = types_inbox.send(Message::Types(answer.types));
-                std::thread::sleep(pause);
-            }
-            None => std::thread::sleep(Duration::from_secs(1)),
-        }
+    let (store, types_inbox) = (store.clone(), inbox.clone());
+    spawn("types", move || {
+        follow_types(&client, &store, &types_inbox, pause)
     })?;
     Ok(Pool {
         inbox: inbox.clone(),
@@ -176,6 +168,58 @@
     }
 }
 
+/// Keeps the machine types current. The last ones seen are kept in the state service, so that a
+/// node which starts while the cloud is down can still take and place jobs.
+fn follow_types(client: &Client, store: &Store, inbox: &Sender<Message>, pause: Duration) {
+    let mut known: Vec<MachineType> = Vec::new();
+    let mut recorded: Option<Vec<MachineType>> = None;
+    loop {
+        let fetched = client
+            .get("/machine_types", CLOUD_PATIENCE)
+            .ok::<MachineTypes>();
+        if recorded.is_none() {
+            let read = store.read::<Vec<MachineType>>(TYPES);
+            recorded = read.ok().map(|r| r.map_or(Vec::new(), |(types, _)| types));
+        }
+        let types = match fetched {
+            Some(answer) => answer.types,
+            None if known.is_empty() => recorded.clone().unwrap_or_default(),
+            None => Vec::new(),
+        };
+        if types.is_empty() {
+            std::thread::sleep(Duration::from_secs(1));
+            continue;
+        }
+        if let Some(old) = recorded
+            .as_ref()
+            .filter(|old| !same_but_prices(old, &types))
+        {
+            let value = serde_json::to_value(&types).expect("plain data");
+            debug!(
+                "{} machine types are recorded, {} were",
+                types.len(),
+                old.len()
+            );
+            if let Outcome::Applied(_) = store.commit(&Transaction::default().put(TYPES, value)) {
+                recorded = Some(types.clone());
+            }
+        }
+        known.clone_from(&types);
+        let _ = inbox.send(Message::Types(types));
+        std::thread::sleep(pause);
+    }
+}
+
+/// Prices move all the time; what they are of seldom changes.
+fn same_but_prices(a: &[MachineType], b: &[MachineType]) -> bool {
+    let unpriced = |t: &MachineType| MachineType {
+        price: 0.0,
+        spot_price: 0.0,
+        ..t.clone()
+    };
+    a.iter().map(unpriced).eq(b.iter().map(unpriced))
+}
+
 /// Waits longer before each further try.
 fn back_off(attempt: u32) {
     std::thread::sleep(Duration::from_millis(300) * (attempt + 1));
