--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -31,6 +31,9 @@
     rooms: Vec<Room>,
     /// Room on each machine that is kept warm for services.
     warm: Vec<Room>,
+    /// The order in which machines fill, from 0 to 1: what comes last empties first, and can be
+    /// returned.
+    rank: Vec<f64>,
     team_use: HashMap<String, (f64, f64)>,
     zones: HashMap<Name, HashMap<Name, u32>>,
     victims: HashSet<PlaceKey>,
@@ -49,9 +52,11 @@
             .map(|m| m.takes_tasks(now, silence_s) && core.type_of(&m.kind).is_some())
             .collect();
         let rooms = machines.iter().map(|m| core.free_room(m)).collect();
+        let rank = core.fill_order(&machines);
         Pass {
             core,
             now,
+            rank,
             warm: vec![Room::default(); machines.len()],
             machines,
             open,
@@ -260,8 +265,7 @@
         }
     }
 
-    /// A task of an array goes where its image is, on machines that the cloud may take back
-    /// before others, on the fullest.
+    /// A task of an array goes where its image is, else in the order in which machines fill.
     pub fn place_task(
         &mut self,
         job: &Job,
@@ -291,8 +295,7 @@
             if delays && !guaranteed {
                 continue;
             }
-            let kind = if m.spot { 0.0 } else { 1.0 };
-            let cost = fetch_s + kind + self.free_share(i);
+            let cost = fetch_s + self.rank[i];
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
@@ -376,6 +379,31 @@
 }
 
 impl Core {
+    /// Ranks machines: those that the cloud may take back first, as only batches can use them,
+    /// then by the price of a processor, then by age.
+    fn fill_order(&self, machines: &[&Machine]) -> Vec<f64> {
+        let price = |m: &Machine| {
+            let t = self.type_of(&m.kind);
+            t.map_or(0.0, |t| {
+                let price = if m.spot { t.spot_price } else { t.price };
+                price / t.cpus.max(1e-3)
+            })
+        };
+        let mut order: Vec<usize> = (0..machines.len()).collect();
+        order.sort_by(|a, b| {
+            let (a, b) = (machines[*a], machines[*b]);
+            b.spot
+                .cmp(&a.spot)
+                .then(price(a).total_cmp(&price(b)))
+                .then(a.name.cmp(&b.name))
+        });
+        let mut rank = vec![0.0; machines.len()];
+        for (place, i) in order.iter().enumerate() {
+            rank[*i] = place as f64 / machines.len() as f64;
+        }
+        rank
+    }
+
     /// What is free on a machine: all that is or may be there counts, but for what a stop in the
     /// same message ends at once.
     pub(super) fn free_room(&self, m: &Machine) -> Room {
