Rent for the work left against the time left after booting

Cause: each job rented for its own parallelism, though running work frees its room before a machine has booted (zghva steady: 12 machines rented for a burst that was over when they came).

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -192,28 +192,81 @@
                 });
             }
         }
+        demands.extend(self.batch_demand(now));
+        demands
+    }
+
+    /// Processors that batches can use, on machines that are up and on those that come.
+    fn batch_cpus(&self, now: Time) -> f64 {
+        let coming = self.fleet.renting.values().map(|r| {
+            let cpus = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
+            cpus * f64::from(r.count)
+        });
+        let silence_s = self.silence_s();
+        let present = self
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Booting || m.takes_tasks(now, silence_s))
+            .map(|m| {
+                let cpus = self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
+                let services = m
+                    .live()
+                    .filter(|(key, _)| self.jobs.get(&key.0).is_some_and(Job::is_service));
+                cpus - services.map(|(_, p)| p.need.cpus).sum::<f64>()
+            });
+        coming.chain(present).sum()
+    }
+
+    /// The work of a job that is left, in processor seconds.
+    fn work_left(&self, job: &Job, now: Time) -> f64 {
+        let running: f64 = job
+            .tasks
+            .iter()
+            .enumerate()
+            .flat_map(|(i, t)| t.at.iter().map(move |(m, a)| (i as u32, m, *a)))
+            .filter_map(|(task, machine, attempt)| {
+                let key = (job.id.clone(), task, attempt);
+                let place = self.machines.get(machine)?.places.get(&key)?;
+                Some(self.predicted_end(&key, place, now) - now)
+            })
+            .sum();
+        let waiting = f64::from(job.unplaced_count()) * job.predicted_s;
+        (running + waiting) * job.spec.cpus
+    }
+
+    /// What the queue needs: enough that each job, after those before it, ends in its time. New
+    /// machines work only once they have booted; what is done by then needs none.
+    fn batch_demand(&self, now: Time) -> Option<Demand> {
         let mut batches: Vec<&Job> = self
             .jobs
             .values()
-            .filter(|j| !j.is_service() && !j.cancelled && j.unplaced_count() > 0)
+            .filter(|j| !j.is_service() && !j.cancelled && now >= j.retry_at)
             .collect();
         batches.sort_by_key(|j| j.seq);
+        let boots = self.types.iter().map(|t| t.boot_s);
+        let boot_s = boots.sum::<f64>() / self.types.len().max(1) as f64;
+        let have = self.batch_cpus(now);
+        let mut work = 0.0;
+        let mut best: Option<(f64, &Job)> = None;
         for job in batches {
-            let unplaced = self.wanted(job, job.unplaced_count());
-            let left = job.tasks.len() as f64 - f64::from(job.done);
-            let at_once = (left * job.predicted_s / self.horizon_s(job, now)).ceil();
-            let count = (at_once - f64::from(job.live)).clamp(0.0, f64::from(unplaced)) as u32;
-            let left = absorb(&job.need(), job.spec.spot, count);
-            if left > 0 {
-                let spot = job.spec.spot && self.settings.policy.spot;
-                demands.push(Demand {
-                    spec: job.spec.clone(),
-                    count: left,
-                    spot,
-                });
+            work += self.work_left(job, now);
+            if self.wanted(job, job.unplaced_count()) == 0 {
+                continue;
+            }
+            let least_s = boot_s + job.predicted_s;
+            let within_s = self.horizon_s(job, now).max(least_s);
+            let more = (work - have * within_s) / (within_s - boot_s);
+            if more > 0.0 && best.is_none_or(|b| more > b.0) {
+                best = Some((more, job));
             }
         }
-        demands
+        let (cpus, job) = best?;
+        let count = (cpus / job.spec.cpus.max(1e-3)).ceil() as u32;
+        Some(Demand {
+            spec: job.spec.clone(),
+            count,
+            spot: job.spec.spot && self.settings.policy.spot,
+        })
     }
 
     /// As many of a job's tasks as its team's limit lets run.
