--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -14,6 +14,8 @@
 const REMEMBERED: usize = 16;
 /// What a machine costs at least, in seconds of its price.
 const LEAST_CHARGE_S: f64 = 60.0;
+/// A start counts once the task has run for this long.
+const START_COUNTS_S: f64 = 30.0;
 /// The share of a job's time that its tasks may take to be worked off.
 const HORIZON_SHARE: f64 = 0.5;
 
@@ -107,6 +109,7 @@
         }
         self.fleet.refused.retain(|_, until| *until > now);
         self.return_idle(now);
+        self.consolidate(now);
         for demand in merged(self.demands(now)) {
             self.rent_for(&demand);
         }
@@ -463,4 +466,90 @@
             self.give_back(&name);
         }
     }
+
+    /// Moves replicas off a machine that holds nothing else, where others have room for them and
+    /// their images, so that it can be returned.
+    fn consolidate(&mut self, now: Time) {
+        let busy = self
+            .machines
+            .values()
+            .any(|m| m.draining && m.phase == Phase::Up);
+        let waiting = self
+            .jobs
+            .values()
+            .any(|j| !j.cancelled && j.unplaced_count() > 0);
+        if busy || waiting {
+            return;
+        }
+        let silence_s = self.silence_s();
+        let steady: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| !m.spot && m.takes_tasks(now, silence_s))
+            .collect();
+        let used = |m: &Machine| m.live().map(|(_, p)| p.need.cpus).sum::<f64>();
+        let mut candidates: Vec<&Machine> = steady
+            .iter()
+            .copied()
+            .filter(|m| !m.is_empty() && self.holds_settled_replicas(m, now))
+            .collect();
+        candidates.sort_by(|a, b| used(a).total_cmp(&used(b)));
+        let movable = candidates.into_iter().find(|m| {
+            let rest = steady.iter().copied().filter(|r| r.name != m.name);
+            self.fits_elsewhere(m, rest.collect(), now)
+        });
+        let Some(m) = movable else {
+            return;
+        };
+        let (name, keys): (Name, Vec<PlaceKey>) = (
+            m.name.clone(),
+            m.live().map(|(key, _)| key.clone()).collect(),
+        );
+        info!(
+            "{name}: its {} replicas move, so that it can be returned",
+            keys.len()
+        );
+        for key in keys {
+            self.stop(&name, &key, 0.0, now);
+        }
+        if let Some(m) = self.machines.get_mut(&name) {
+            m.draining = true;
+        }
+    }
+
+    /// Whether all on a machine are replicas that have run for long enough to count as started.
+    fn holds_settled_replicas(&self, m: &Machine, now: Time) -> bool {
+        m.live().all(|(key, place)| {
+            let service = self.jobs.get(&key.0).is_some_and(Job::is_service);
+            let settled = place
+                .running_since
+                .is_some_and(|t| now - t > START_COUNTS_S);
+            service && settled && place.stop.is_none()
+        })
+    }
+
+    /// Whether a machine's replicas, and those that are expected, fit on the others.
+    fn fits_elsewhere(&self, m: &Machine, rest: Vec<&Machine>, now: Time) -> bool {
+        let mut rooms: Vec<Room> = rest.iter().map(|r| self.free_room(r)).collect();
+        let mut put = |need: &Room, allowed: &dyn Fn(&Machine) -> bool| {
+            let found = (0..rest.len()).find(|i| rooms[*i].fits(need) && allowed(rest[*i]));
+            if let Some(i) = found {
+                rooms[i].take(need);
+            }
+            found.is_some()
+        };
+        let moved = m.live().all(|(key, place)| {
+            let job = &self.jobs[&key.0];
+            let zoned = job.spec.one_zone || job.spec.spread;
+            put(&place.need, &|r| {
+                let same_zone = !zoned || r.zone == m.zone;
+                same_zone && may_use(job, r) && r.images.contains_key(&job.spec.image)
+            })
+        });
+        let expected = self.fleet.expected(self, now);
+        moved
+            && expected
+                .iter()
+                .all(|(need, count, _)| (0..*count).all(|_| put(need, &|_| true)))
+    }
 }
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -121,6 +121,8 @@
                     Some((m.name.clone(), "has not come up"))
                 } else if m.quarantined && m.is_empty() {
                     Some((m.name.clone(), "is faulty"))
+                } else if m.draining && m.is_empty() {
+                    Some((m.name.clone(), "is emptied"))
                 } else {
                     None
                 }
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -218,6 +218,8 @@
     /// Tasks of these jobs failed on it since one last completed there.
     pub failures: BTreeSet<Name>,
     pub quarantined: bool,
+    /// Its replicas are being moved elsewhere, so that it can be returned.
+    pub draining: bool,
     pub return_in_flight: bool,
     pub listed_failed: bool,
 }
@@ -246,6 +248,7 @@
             idle_since: now,
             failures: BTreeSet::new(),
             quarantined: false,
+            draining: false,
             return_in_flight: false,
             listed_failed: false,
         }
@@ -263,6 +266,7 @@
     pub fn takes_tasks(&self, now: Time, silence_s: f64) -> bool {
         self.phase == Phase::Up
             && !self.quarantined
+            && !self.draining
             && self.taken_at.is_none()
             && self.endpoint.is_some()
             && self.heard.is_some_and(|t| now - t < silence_s)
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -90,6 +90,11 @@
 impl Gateway {
     pub fn run(self) {
         for task in &self.tasks {
+            let begun = Instant::now();
+            let what = match &task.work {
+                Work::Call { call, .. } => call.name(),
+                Work::PassOn { .. } => "report",
+            };
             let reply = match task.work {
                 Work::Call { call, from_peer } => self.answer(&call, from_peer),
                 Work::PassOn { leader, body } => self
@@ -97,6 +102,9 @@
                     .report(&leader, body, 2 * LEADER_PATIENCE)
                     .unwrap_or_else(|| Reply::later("the leader is not reached")),
             };
+            if begun.elapsed() > LEADER_PATIENCE / 4 || reply.status >= 500 {
+                debug!("{what}: {} after {:?}", reply.status, begun.elapsed());
+            }
             (task.respond)(reply);
         }
     }
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -18,6 +18,18 @@
     Report(Vec<u8>),
 }
 
+impl Call {
+    /// For the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Call::Submit(_) => "submission",
+            Call::Query(_) => "query",
+            Call::Cancel(_) => "cancellation",
+            Call::Report(_) => "report",
+        }
+    }
+}
+
 /// Takes a request on, or answers it at once.
 pub type Handler = dyn Fn(Call, Respond) + Send + Sync;
 
