Peers promise a new leader to answer no report with a lower token

With every peer's promise the lease is over by our own clock. Ruled out: shorter silence, which needs the cloud too.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -107,6 +107,8 @@
     raised_at: Time,
     raising: bool,
     pub deposed: bool,
+    /// When every other controller had promised to answer no report with a lower token.
+    promised: Option<Time>,
     tasks_a_chunk: usize,
 }
 
@@ -148,6 +150,7 @@
             raised_at: now,
             raising: false,
             deposed: false,
+            promised: None,
             tasks_a_chunk: tasks_a_chunk(c.state.value_kb),
             settings,
         }
@@ -157,6 +160,10 @@
         std::mem::take(&mut self.effects)
     }
 
+    pub fn first_token(&self) -> u64 {
+        self.first_token
+    }
+
     pub fn leads(&self, now: Time) -> bool {
         now < self.valid_until && !self.deposed
     }
@@ -217,6 +224,7 @@
             failed_on: BTreeSet::new(),
             retry_at: 0.0,
             first_open: 0,
+            first_run: None,
             spec,
         };
         if !job.is_service() {
@@ -571,6 +579,9 @@
             if t.state == TaskState::Running && place.running_since.is_none() {
                 place.running_since = Some(now);
                 debug!("{}/{}: runs on {name}", key.0, key.1);
+                if let Some(job) = self.jobs.get_mut(&key.0) {
+                    job.first_run.get_or_insert(now);
+                }
             }
             if t.state != TaskState::Fetching {
                 m.images.insert(spec.image.clone(), now);
@@ -1081,7 +1092,7 @@
                 job.end_in_flight = false;
             }
             if applied.is_some() {
-                self.job_ended(&id);
+                self.job_ended(&id, now);
             }
         }
         match result {
@@ -1092,12 +1103,18 @@
     }
 
     /// Its end is recorded, and nothing of it is left.
-    fn job_ended(&mut self, id: &Name) {
+    fn job_ended(&mut self, id: &Name, now: Time) {
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
         if !job.cancelled {
-            info!("{id}: done");
+            let due = job
+                .spec
+                .deadline_s
+                .map_or(String::new(), |s| format!(", due after {s:.0}"));
+            let started = job.first_run.map_or(0.0, |t| t - job.arrived);
+            let took = now - job.arrived;
+            info!("{id}: done, started after {started:.0} s, took {took:.0}{due}");
             self.effects.push(Effect::Ended {
                 id: id.clone(),
                 state: JobState::Done,
@@ -1133,7 +1150,7 @@
                         state: JobState::Cancelled,
                     }) => self.cancel(id, now),
                     // Our own end, whose answer was lost.
-                    Ok(_) => self.job_ended(&id.into()),
+                    Ok(_) => self.job_ended(&id.into(), now),
                     Err(e) => warn!("{key}: cannot be read: {e}"),
                 }
             }
@@ -1205,15 +1222,32 @@
         self.gone.retain(|_, t| now - *t < keep);
     }
 
-    /// A worker that has seen our token is renewed by us alone: when its lease is over by our
-    /// clock, it has killed and forgotten every task.
+    /// Every other controller has promised to answer no report with a lower token than ours.
+    pub fn promised(&mut self, now: Time) {
+        self.promised = Some(now);
+    }
+
+    /// When a worker's lease was last renewed at the latest; `None` where an earlier leader may
+    /// still renew it. A worker that has seen our token is renewed by us alone, and so is every
+    /// worker once the other controllers have promised as much.
+    fn renewed_by(&self, m: &Machine) -> Option<Time> {
+        match m.token >= self.first_token {
+            true => Some(m.answered.max(self.leads_since)),
+            false => self.promised.map(|t| t.max(m.answered)),
+        }
+    }
+
+    /// When a worker's lease is over by our clock, it has killed and forgotten every task.
     fn expire_sessions(&mut self, now: Time) {
         let lease_s = self.settings.cluster.workers.lease_s;
         let over: Vec<Name> = self
             .machines
             .values()
-            .filter(|m| m.phase != Phase::Booting && m.token >= self.first_token)
-            .filter(|m| now - m.answered.max(self.leads_since) > lease_s * DRIFT + WORKER_RETRY_S)
+            .filter(|m| m.phase != Phase::Booting)
+            .filter(|m| {
+                let renewed = self.renewed_by(m);
+                renewed.is_some_and(|t| now - t > lease_s * DRIFT + WORKER_RETRY_S)
+            })
             .filter(|m| m.places.values().any(|p| p.stage != Stage::Planned))
             .map(|m| m.name.clone())
             .collect();
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -105,6 +105,7 @@
     pub retry_at: Time,
     /// No task before this one can be placed.
     pub first_open: usize,
+    pub first_run: Option<Time>,
 }
 
 impl Job {
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -46,6 +46,10 @@
     Types(Vec<MachineType>),
     /// Whether any other controller could be reached.
     Probed(bool),
+    /// A new leader asks that no report be answered here with a lower token than its own.
+    Promise(u64, Respond),
+    /// All others have given that promise to this term's leader.
+    Promised(u64),
 }
 
 /// What the controller tells the gateway.
@@ -112,6 +116,8 @@
     /// When a worker last reported here, and whether peers are being asked because none does.
     heard: Time,
     probing: bool,
+    /// The highest token that was promised to: lower ones never answer reports here.
+    promised: u64,
 }
 
 /// Messages taken in before the core decides again.
@@ -157,6 +163,7 @@
             listed: 0.0,
             heard: 0.0,
             probing: false,
+            promised: 0,
             settings,
         }
     }
@@ -224,7 +231,7 @@
         let (peers, inbox) = (self.peers.clone(), self.inbox.clone());
         let within = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 2.0);
         let body = move || {
-            let reached = peers.names().any(|name| peers.ping(name, within));
+            let reached = peers.names().any(|name| peers.reaches(name, within));
             let _ = inbox.send(Message::Probed(reached));
         };
         if let Err(error) = super::spawn("probe", body) {
@@ -325,6 +332,12 @@
                     core.listed(&list, now);
                 }
             }
+            Message::Promise(token, respond) => self.promise(token, respond),
+            Message::Promised(token) => {
+                if let Some(core) = self.core().filter(|c| c.first_token() == token) {
+                    core.promised(now);
+                }
+            }
             Message::Probed(reached) => self.probed(reached),
             Message::Types(types) => {
                 if let Some(core) = self.core() {
@@ -343,6 +356,10 @@
                 }
                 self.leader = leader;
             }
+            // An election that was over before the news of it came through.
+            News::Elected { token } if token < self.promised => {
+                let _ = self.wishes.try_send(Wish::Resign);
+            }
             News::Elected { token } => {
                 info!("elected with token {token}");
                 self.leader = Some(self.settings.name.clone());
@@ -434,6 +451,44 @@
         }
     }
 
+    /// A later token than ours exists, so our leadership is over, whatever we know of it.
+    fn promise(&mut self, token: u64, respond: Respond) {
+        let ours = match &self.role {
+            Role::Follower => 0,
+            Role::Recovering { token, .. } => *token,
+            Role::Leading(core) => core.token,
+        };
+        let promised = token >= ours;
+        self.promised = self.promised.max(token);
+        if promised && ours > 0 {
+            self.step_down();
+            let _ = self.wishes.try_send(Wish::Resign);
+        }
+        let status = if promised { 200 } else { 409 };
+        respond(Reply::json(status, &()));
+    }
+
+    /// Asks all other controllers to answer no more reports with lower tokens. A node that does
+    /// not answer may still do so; one that has restarted does not.
+    fn ask_promises(&self, token: u64) {
+        let (peers, inbox, term) = (self.peers.clone(), self.inbox.clone(), self.term.clone());
+        let pause = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 4.0);
+        let body = move || {
+            let mut left: Vec<&String> = peers.names().collect();
+            while term.load(Ordering::Relaxed) == token {
+                left.retain(|name| peers.promise(name, token, 2 * pause) != Some(true));
+                if left.is_empty() {
+                    let _ = inbox.send(Message::Promised(token));
+                    return;
+                }
+                std::thread::sleep(pause);
+            }
+        };
+        if let Err(error) = super::spawn("promises", body) {
+            warn!("{error:#}");
+        }
+    }
+
     fn loaded(&mut self, token: u64, records: Records) {
         let now = self.now();
         match self.role {
@@ -448,6 +503,7 @@
                 self.role = Role::Leading(Box::new(core));
                 self.pool.cloud(CloudCall::List);
                 self.listed = now;
+                self.ask_promises(token);
             }
             _ => {}
         }
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -19,13 +19,14 @@
 pub use wire::ask_request::Kind;
 use wire::peer_client::PeerClient;
 use wire::peer_server::{Peer, PeerServer};
-use wire::{AskReply, AskRequest, PingReply, PingRequest, ReportReply, ReportRequest};
+use wire::{AskReply, AskRequest, PromiseReply, PromiseRequest, ReportReply, ReportRequest};
 
 /// What another controller asks for.
 #[derive(Debug)]
 pub enum PeerCall {
     Ask(Kind, String, Vec<u8>),
     Report(Vec<u8>),
+    Promise(u64),
 }
 
 pub type PeerHandler = dyn Fn(PeerCall, Respond) + Send + Sync;
@@ -81,8 +82,16 @@
         }))
     }
 
-    async fn ping(&self, _: Request<PingRequest>) -> Result<Response<PingReply>, Status> {
-        Ok(Response::new(PingReply {}))
+    async fn promise(
+        &self,
+        request: Request<PromiseRequest>,
+    ) -> Result<Response<PromiseReply>, Status> {
+        let token = request.into_inner().token;
+        let promised = match token {
+            0 => false,
+            token => self.call(PeerCall::Promise(token)).await?.status == 200,
+        };
+        Ok(Response::new(PromiseReply { promised }))
     }
 }
 
@@ -196,12 +205,16 @@
         })
     }
 
+    /// Asks for a promise to answer no report with a lower token; `None` if there is no answer.
+    pub fn promise(&self, name: &str, token: u64, within: Duration) -> Option<bool> {
+        let mut client = self.client(name)?;
+        let request = PromiseRequest { token };
+        let reply = self.call(within, async move { client.promise(request).await })?;
+        Some(reply.promised)
+    }
+
     /// Whether another controller is up and can be reached.
-    pub fn ping(&self, name: &str, within: Duration) -> bool {
-        let Some(mut client) = self.client(name) else {
-            return false;
-        };
-        self.call(within, async move { client.ping(PingRequest {}).await })
-            .is_some()
+    pub fn reaches(&self, name: &str, within: Duration) -> bool {
+        self.promise(name, 0, within).is_some()
     }
 }
