Let a deadline bring a job forward to its latest start

The queue keeps arrival order; among jobs with deadlines the latest start that meets it counts as the arrival.

--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -7,7 +7,7 @@
 use super::state::*;
 use super::Time;
 use crate::protocol::job::{Kind, Priority};
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::HashMap;
 use tracing::info;
 
@@ -45,7 +45,18 @@
         pass.keep_warm();
         let within = self.within_guarantee();
         let rank = |j: &Job| !within.get(&j.id).copied().unwrap_or(false);
-        queue.sort_by_key(|j| (rank(j), Reverse(j.spec.priority), j.seq));
+        queue.sort_by(|a, b| {
+            let key = |j: &Job| (rank(j), Reverse(j.spec.priority));
+            let by_time = || {
+                turn(a, now)
+                    .partial_cmp(&turn(b, now))
+                    .unwrap_or(Ordering::Equal)
+            };
+            key(a)
+                .cmp(&key(b))
+                .then_with(by_time)
+                .then(a.seq.cmp(&b.seq))
+        });
         self.place_queue(&mut pass, &queue, &|j| !rank(j));
         let plans = pass.finish();
         for stop in plans.stops {
@@ -219,6 +230,18 @@
     }
 }
 
+/// A job's turn among those of its rank: in order of arrival, but a deadline brings it forward to
+/// the latest start that meets it. One that is missed already yields to those that are not.
+fn turn(job: &Job, now: Time) -> (bool, Time) {
+    match job.spec.deadline_s {
+        None => (false, job.arrived),
+        Some(due_s) => {
+            let latest = job.arrived + due_s - job.predicted_s;
+            (job.arrived + due_s < now, latest)
+        }
+    }
+}
+
 fn waits(job: &Job, now: Time) -> bool {
     !job.cancelled && now >= job.retry_at && job.unplaced_count() > 0
 }
