Hear of a worker's new session before anything is sent to it; generated histories

Cause: after a lease was over by our clock, launches went to the session that was guessed to follow, and its tasks were cleared at once, as the old lease still counted: a task could start on two machines. The new session's lease now counts from when it was last heard of.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -775,7 +775,7 @@
             .values()
             .filter(|m| {
                 let reachable = m.phase == Phase::Up && m.endpoint.is_some();
-                reachable && !m.order_in_flight && now >= m.no_orders_until && m.session > 0
+                reachable && !m.order_in_flight && now >= m.no_orders_until && m.heard.is_some()
             })
             .filter(|m| {
                 m.places.values().any(|p| match p.stage {
@@ -1229,11 +1229,13 @@
 
     /// When a worker's lease was last renewed at the latest; `None` where an earlier leader may
     /// still renew it. A worker that has seen our token is renewed by us alone, and so is every
-    /// worker once the other controllers have promised as much.
+    /// worker once the other controllers have promised as much. A session that was heard of may
+    /// have begun just then, and what is sent to it runs in no later one.
     fn renewed_by(&self, m: &Machine) -> Option<Time> {
+        let known = m.answered.max(m.heard.unwrap_or(m.answered));
         match m.token >= self.first_token {
-            true => Some(m.answered.max(self.leads_since)),
-            false => self.promised.map(|t| t.max(m.answered)),
+            true => Some(known.max(self.leads_since)),
+            false => self.promised.map(|t| t.max(known)),
         }
     }
 
@@ -1255,9 +1257,11 @@
             warn!("{name}: silent for longer than its lease");
             self.clear_session(&name, now);
             if let Some(m) = self.machines.get_mut(&name) {
-                // Whatever it says of that session is of the past.
+                // Whatever it says of that session is of the past. Nothing is sent to the next one
+                // before it is heard of: when it begins, and so when it ends, is not known.
                 m.session += 1;
                 m.seq = 0;
+                m.heard = None;
             }
         }
     }
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -45,18 +45,7 @@
         pass.keep_warm();
         let within = self.within_guarantee();
         let rank = |j: &Job| !within.get(&j.id).copied().unwrap_or(false);
-        queue.sort_by(|a, b| {
-            let key = |j: &Job| (rank(j), Reverse(j.spec.priority));
-            let by_time = || {
-                turn(a, now)
-                    .partial_cmp(&turn(b, now))
-                    .unwrap_or(Ordering::Equal)
-            };
-            key(a)
-                .cmp(&key(b))
-                .then_with(by_time)
-                .then(a.seq.cmp(&b.seq))
-        });
+        queue.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| in_turn(a, b, now)));
         self.place_queue(&mut pass, &queue, &|j| !rank(j));
         let plans = pass.finish();
         for stop in plans.stops {
@@ -242,6 +231,17 @@
     }
 }
 
+/// The order of the queue: by priority, then in turn.
+pub(super) fn in_turn(a: &Job, b: &Job, now: Time) -> Ordering {
+    let by_time = || {
+        turn(a, now)
+            .partial_cmp(&turn(b, now))
+            .unwrap_or(Ordering::Equal)
+    };
+    let by_priority = b.spec.priority.cmp(&a.spec.priority);
+    by_priority.then_with(by_time).then(a.seq.cmp(&b.seq))
+}
+
 fn waits(job: &Job, now: Time) -> bool {
     !job.cancelled && now >= job.retry_at && job.unplaced_count() > 0
 }
--- /dev/null
+++ b/tests/histories.rs
@@ -0,0 +1,611 @@
+//! Generated histories against stand-ins of the state service, the workers and the cloud: lost
+//! answers, late and repeated messages, silent machines and new leaders, checked for the rules.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use stairstage::bookkeeping::records::*;
+use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::coordination::recovery::Records;
+use stairstage::protocol::cloud::MachineType;
+use stairstage::protocol::job::{JobSpec, JobState};
+use stairstage::protocol::store::{Change, Item, Transaction};
+use stairstage::protocol::worker::*;
+use stairstage::settings::Settings;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const SETTINGS: &str = r#"
+host_name = "a"
+zone = "z"
+front = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[settings]
+[[settings.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 10.0
+[settings.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 20.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+[settings.state]
+rps = 200.0
+write_rps = 100.0
+value_kb = 16.0
+txn_ops = 8
+[settings.cloud]
+rps = 10.0
+list_lag_s = 4.0
+[settings.limits]
+ram_mb = 100.0
+max_sockets = 500
+"#;
+
+/// A state service that keeps values, versions and conditions.
+#[derive(Default)]
+struct Store {
+    values: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    fn commit(&mut self, txn: &Transaction) -> Result<u64, ()> {
+        for c in &txn.conditions {
+            if self.values.get(&c.key).map_or(0, |v| v.1) != c.version {
+                return Err(());
+            }
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    self.values
+                        .insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => {
+                    self.values.remove(key);
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+
+    fn item(&self, key: &str) -> Option<Item> {
+        let (value, version) = self.values.get(key)?.clone();
+        Some(Item {
+            key: key.to_string(),
+            value,
+            version,
+        })
+    }
+
+    fn under(&self, prefix: &str) -> Vec<Item> {
+        let keys = self.values.keys().filter(|k| k.starts_with(prefix));
+        keys.filter_map(|k| self.item(k)).collect()
+    }
+}
+
+#[derive(Clone)]
+struct OnWorker {
+    state: TaskState,
+    cause: Option<Cause>,
+}
+
+/// A machine with its worker, as the protocol describes them.
+struct Worker {
+    name: String,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// By task and attempt.
+    tasks: BTreeMap<(String, u64), OnWorker>,
+    renewed: f64,
+    /// Cut off from the controllers; or gone for good.
+    cut: bool,
+    gone: bool,
+}
+
+const CPUS: f64 = 4.0;
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            endpoint: "127.0.0.1:9".into(),
+            kind: "m4".into(),
+            zone: "z".into(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: t.state,
+                    cause: t.cause,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn live(&self) -> impl Iterator<Item = &String> {
+        let live = self
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.state != TaskState::Exited);
+        live.map(|((task, _), _)| task)
+    }
+
+    /// Runs commands; returns the tasks that started.
+    fn run(&mut self, commands: &[Command]) -> Vec<String> {
+        let mut started = Vec::new();
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    let full = self.live().count() as f64 + 1.0 > CPUS;
+                    if self.tasks.contains_key(&key) || full || self.live().any(|t| t == task) {
+                        continue;
+                    }
+                    let state = TaskState::Running;
+                    self.tasks.insert(key, OnWorker { state, cause: None });
+                    started.push(task.clone());
+                }
+                Command::Stop { task, attempt, .. } => {
+                    let t = self.tasks.get_mut(&(task.clone(), *attempt));
+                    if let Some(t) = t.filter(|t| t.state != TaskState::Exited) {
+                        t.state = TaskState::Exited;
+                        t.cause = Some(Cause::Stopped);
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|t| t.state == TaskState::Exited)
+                    {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        started
+    }
+}
+
+/// What the generated history does next.
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u8),
+    /// A worker reports; the answer may be lost.
+    Report {
+        worker: u8,
+        answer_lost: bool,
+    },
+    Finish {
+        worker: u8,
+    },
+    Fail {
+        worker: u8,
+    },
+    Cut {
+        worker: u8,
+        on: bool,
+    },
+    /// Every direct command from now on is held back, and those held arrive (again).
+    Hold(bool),
+    Replay(u8),
+    /// Writes from now on are applied but unanswered, or lost.
+    Writes(u8),
+    Cancel(u8),
+    Submit(u8),
+    NewLeader,
+    /// The other controllers promise, whose absence keeps leases in doubt.
+    Promise,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (1u8..30).prop_map(Step::Pass),
+        10 => (0u8..3, prop::bool::weighted(0.2)).prop_map(|(worker, answer_lost)| Step::Report { worker, answer_lost }),
+        5 => (0u8..3).prop_map(|worker| Step::Finish { worker }),
+        1 => (0u8..3).prop_map(|worker| Step::Fail { worker }),
+        2 => (0u8..3, any::<bool>()).prop_map(|(worker, on)| Step::Cut { worker, on }),
+        2 => any::<bool>().prop_map(Step::Hold),
+        2 => any::<u8>().prop_map(Step::Replay),
+        2 => (0u8..3).prop_map(Step::Writes),
+        2 => (0u8..6).prop_map(Step::Cancel),
+        3 => (0u8..6).prop_map(Step::Submit),
+        2 => Just(Step::NewLeader),
+        1 => Just(Step::Promise),
+    ]
+}
+
+struct World {
+    now: f64,
+    settings: Arc<Settings>,
+    store: Store,
+    workers: Vec<Worker>,
+    core: Core,
+    held: Vec<(usize, Orders)>,
+    holding: bool,
+    writes: u8,
+    done: BTreeMap<String, BTreeSet<u32>>,
+    cancelled: BTreeMap<String, f64>,
+    ended: BTreeMap<String, JobState>,
+}
+
+impl World {
+    fn new() -> World {
+        let settings = Arc::new(Settings::parse("test", SETTINGS).unwrap());
+        let workers = (0..3)
+            .map(|i| Worker {
+                name: format!("m-{i}"),
+                session: 1,
+                seq: 0,
+                token: 0,
+                tasks: BTreeMap::new(),
+                renewed: 0.0,
+                cut: false,
+                gone: false,
+            })
+            .collect();
+        let mut world = World {
+            now: 0.0,
+            core: Core::new(settings.clone(), 0, 0.0),
+            settings,
+            store: Store::default(),
+            workers,
+            held: Vec::new(),
+            holding: false,
+            writes: 0,
+            done: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            ended: BTreeMap::new(),
+        };
+        world.elect();
+        world
+    }
+
+    fn elect(&mut self) {
+        let txn = Transaction::default().put(LEADER, json!({"node": "a"}));
+        let token = self.store.commit(&txn).unwrap();
+        let mut core = Core::new(self.settings.clone(), token, self.now);
+        core.set_types(vec![MachineType {
+            name: "m4".into(),
+            cpus: CPUS,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 10.0,
+            zones: vec!["z".into()],
+        }]);
+        core.valid_until = f64::INFINITY;
+        let records = Records {
+            open: self.store.under(OPEN),
+            run: self.store.under(RUN),
+            machines: self.store.under(MACHINE),
+        };
+        core.recover(records, 0, self.now);
+        self.core = core;
+        self.effects();
+    }
+
+    fn started(&self, worker: usize, tasks: Vec<String>) {
+        for task in tasks {
+            let elsewhere = self
+                .workers
+                .iter()
+                .enumerate()
+                .find(|(i, w)| *i != worker && !w.gone && w.live().any(|t| *t == task));
+            assert!(elsewhere.is_none(), "ran_twice: {task} starts on {worker}");
+            let (job, _) = task.rsplit_once('/').unwrap();
+            if let Some(at) = self.cancelled.get(job) {
+                let limit = self.settings.cluster.workers.cancel_s;
+                assert!(self.now - at <= limit, "ran_cancelled: {task}");
+            }
+        }
+        let cpus: usize = self
+            .workers
+            .iter()
+            .filter(|w| !w.gone)
+            .map(|w| w.live().count())
+            .sum();
+        assert!(cpus <= 10, "quota: {cpus} CPUs in use");
+    }
+
+    fn deliver(&mut self, worker: usize, orders: &Orders) -> Option<(bool, Report)> {
+        let w = &mut self.workers[worker];
+        if w.gone {
+            return None;
+        }
+        let fits = orders.token >= w.token && orders.session == w.session;
+        let mut started = Vec::new();
+        if fits {
+            w.token = orders.token;
+            started = w.run(&orders.commands);
+        }
+        let report = w.report();
+        self.started(worker, started);
+        Some((fits, report))
+    }
+
+    fn effects(&mut self) {
+        loop {
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write { id, transaction } => {
+                // 0: answered; 1: applied without an answer; 2: lost.
+                let mode = std::mem::take(&mut self.writes);
+                let result = match mode {
+                    2 => Err(()),
+                    _ => self.store.commit(&transaction),
+                };
+                let written = match (mode, result) {
+                    (0, Ok(revision)) => Written::Applied(revision),
+                    _ => Written::Reread(
+                        transaction
+                            .conditions
+                            .iter()
+                            .map(|c| (c.key.clone(), self.store.item(&c.key)))
+                            .collect(),
+                    ),
+                };
+                self.core.written(id, written, self.now);
+            }
+            Effect::Orders {
+                machine, orders, ..
+            } => {
+                let worker = self
+                    .workers
+                    .iter()
+                    .position(|w| *w.name == *machine)
+                    .unwrap();
+                let result = if self.holding || self.workers[worker].cut {
+                    self.held.push((worker, orders));
+                    Ordered::Unknown
+                } else {
+                    // A copy of what is carried out may come again later.
+                    self.held.push((worker, orders.clone()));
+                    match self.deliver(worker, &orders) {
+                        None => Ordered::NotSent,
+                        Some((true, report)) => Ordered::Executed(report),
+                        Some((false, report)) => Ordered::Rejected(Some(report)),
+                    }
+                };
+                self.core.ordered(&machine, result, self.now);
+            }
+            Effect::Return(names) => {
+                for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                    w.gone = true;
+                    w.tasks.clear();
+                }
+                self.core.returned(&names, true, self.now);
+            }
+            Effect::Rent(rent) => self.core.rented(&rent.request, Some(Vec::new()), self.now),
+            Effect::RaiseToken => {
+                let txn = Transaction::default()
+                    .version(LEADER, self.core.token)
+                    .put(LEADER, json!({"node": "a"}));
+                let token = self.store.commit(&txn).ok();
+                self.core.token_raised(token, self.now);
+            }
+            Effect::Ended { id, state } => {
+                let before = self.ended.insert(id.to_string(), state);
+                assert!(before.is_none_or(|b| b == state), "went_back: {id}");
+                if state == JobState::Done {
+                    let done = self.done.get(&*id).map_or(0, BTreeSet::len);
+                    assert_eq!(done, 3, "not_done: {id}");
+                }
+            }
+        }
+    }
+
+    fn expire(&mut self) {
+        let lease_s = self.settings.cluster.workers.lease_s;
+        for w in self
+            .workers
+            .iter_mut()
+            .filter(|w| self.now - w.renewed > lease_s)
+        {
+            w.session += 1;
+            w.tasks.clear();
+            w.renewed = self.now;
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Pass(tenths) => {
+                self.now += f64::from(tenths) / 10.0;
+                self.expire();
+                self.core.tick(self.now);
+            }
+            Step::Report {
+                worker,
+                answer_lost,
+            } => {
+                let i = worker as usize;
+                let sent = self.now;
+                if self.workers[i].gone || self.workers[i].cut {
+                    return;
+                }
+                let report = self.workers[i].report();
+                if let Heard::Answer(answer) = self.core.report(&report, self.now) {
+                    let w = &mut self.workers[i];
+                    if !answer_lost && answer.token >= w.token {
+                        w.token = answer.token;
+                        w.renewed = sent;
+                        let started = w.run(&answer.commands);
+                        self.started(i, started);
+                    }
+                }
+            }
+            Step::Finish { worker } => {
+                let w = &mut self.workers[worker as usize];
+                let running = w
+                    .tasks
+                    .iter_mut()
+                    .find(|(_, t)| t.state == TaskState::Running);
+                if let Some(((task, _), t)) = running.filter(|_| !w.gone) {
+                    t.state = TaskState::Exited;
+                    t.cause = Some(Cause::Done);
+                    let (job, number) = task.rsplit_once('/').unwrap();
+                    let done = self.done.entry(job.to_string()).or_default();
+                    done.insert(number.parse().unwrap());
+                }
+            }
+            Step::Fail { worker } => {
+                let w = &mut self.workers[worker as usize];
+                let running = w.tasks.values_mut().find(|t| t.state == TaskState::Running);
+                if let Some(t) = running {
+                    t.state = TaskState::Exited;
+                    t.cause = Some(Cause::Error);
+                }
+            }
+            Step::Cut { worker, on } => self.workers[worker as usize].cut = on,
+            Step::Hold(on) => self.holding = on,
+            Step::Replay(n) => {
+                if !self.held.is_empty() {
+                    let (worker, orders) = self.held[n as usize % self.held.len()].clone();
+                    self.deliver(worker, &orders);
+                }
+            }
+            Step::Writes(mode) => self.writes = mode,
+            Step::Submit(n) => self.submit(n),
+            Step::Cancel(n) => self.cancel(n),
+            Step::NewLeader => self.elect(),
+            Step::Promise => self.core.promised(self.now),
+        }
+        self.core.step(self.now);
+        self.effects();
+    }
+
+    fn submit(&mut self, n: u8) {
+        let id = format!("req-{n}");
+        let spec = JobSpec::parse(
+            json!({"name_id":id,"duty":"c","crew":"t","rig":"sweep","precedence":"normal",
+                "legs":3,"cpus":1.0,"gpus":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,"hulls":null,
+                "berth":null,"same_place":false,"spread":false,"driftwood":false,
+                "passage_s":20.0,"fix_interval_s":0.0,"fix_s":0.0,"due_s":null})
+            .to_string()
+            .as_bytes(),
+        )
+        .unwrap();
+        let record = OpenRecord {
+            spec,
+            at_ms: 0,
+            cancelled: false,
+        };
+        let txn = Transaction::default()
+            .absent(job_key(&id))
+            .put(job_key(&id), json!({}))
+            .put(open_key(&id), serde_json::to_value(&record).unwrap());
+        if let Ok(version) = self.store.commit(&txn) {
+            self.core.job_opened(record, version, 0, self.now);
+        }
+    }
+
+    fn cancel(&mut self, n: u8) {
+        let id = format!("req-{n}");
+        let Some(item) = self.store.item(&open_key(&id)) else {
+            return;
+        };
+        let mut record: OpenRecord = serde_json::from_value(item.value).unwrap();
+        record.cancelled = true;
+        let txn = Transaction::default()
+            .absent(end_key(&id))
+            .version(open_key(&id), item.version)
+            .put(end_key(&id), json!({"state":"cancelled"}))
+            .put(open_key(&id), serde_json::to_value(&record).unwrap());
+        if self.store.commit(&txn).is_ok() {
+            self.cancelled.insert(id.clone(), self.now);
+            self.core.cancel(&id, self.now);
+        }
+    }
+
+    /// Lets everything heal; what was accepted must come to its end.
+    fn heal(&mut self) {
+        self.holding = false;
+        for i in 0..600 {
+            for w in 0..3u8 {
+                self.workers[w as usize].cut = false;
+                self.apply(Step::Report {
+                    worker: w,
+                    answer_lost: false,
+                });
+                self.apply(Step::Finish { worker: w });
+            }
+            self.apply(Step::Pass(5));
+            // Machines that were given back are replaced.
+            if i % 20 == 0 && self.workers.iter().all(|w| w.gone) {
+                self.workers.push(Worker {
+                    name: format!("m-{}", self.workers.len()),
+                    session: 1,
+                    seq: 0,
+                    token: 0,
+                    tasks: BTreeMap::new(),
+                    renewed: self.now,
+                    cut: false,
+                    gone: false,
+                });
+                let last = self.workers.len() - 1;
+                self.workers.swap(0, last);
+            }
+        }
+        let open = self.store.under(OPEN);
+        assert!(
+            open.is_empty(),
+            "never ended: {:?}",
+            open.iter().map(|i| &i.key).collect::<Vec<_>>()
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_history_breaks_a_rule(steps in prop::collection::vec(step(), 20..160)) {
+        let mut world = World::new();
+        world.submit(0);
+        for w in 0..3 {
+            world.apply(Step::Report { worker: w, answer_lost: false });
+        }
+        for step in steps {
+            world.apply(step);
+        }
+        world.heal();
+    }
+}
