--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::core::{Core, Effect};
 use super::placement::may_use;
-use super::queue::in_turn;
+
 use super::state::*;
 use super::Time;
 use crate::protocol::cloud::*;
@@ -246,7 +246,7 @@
             .values()
             .filter(|j| !j.is_service() && !j.cancelled && now >= j.retry_at)
             .collect();
-        batches.sort_by(|a, b| in_turn(a, b, now));
+        batches.sort_by_key(|j| j.seq);
         let boots = self.types.iter().map(|t| t.boot_s);
         let boot_s = boots.sum::<f64>() / self.types.len().max(1) as f64;
         let have = self.batch_cpus(now);
@@ -439,9 +439,7 @@
             .filter_map(|m| {
                 let t = self.type_of(&m.kind)?;
                 let price = if m.spot { t.spot_price } else { t.price };
-                // What is cheaper is kept for longer.
-                let cheapness = t.price / price.max(1e-3);
-                let long = now - m.idle_since > idle_share * t.boot_s * cheapness;
+                let long = now - m.idle_since > idle_share * t.boot_s;
                 let paid = now - m.rented > LEAST_CHARGE_S;
                 (long && paid).then(|| (price, m.name.clone()))
             })
