--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -23,7 +23,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Policy {
-            leader_lease: 1.5,
+            leader_lease: 0.8,
             silence: 2.5,
             idle: 0.5,
             warm: 1.0,
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -207,3 +207,9 @@
         let _ = Policy::parse("p", &text);
     }
 }
+
+#[test]
+fn the_example_of_an_operators_file_shows_the_defaults() {
+    let text = include_str!("../docs/policy.example.lisp");
+    assert_eq!(Policy::parse("example", text).unwrap(), Policy::default());
+}
