Return idle machines though a job waits for its team's limit

Ruled out as the cause of the price: idle machines; a trace of steady shows 85 to 95 % of the processors in use from 60 s to 400 s.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -423,7 +423,8 @@
         let waiting: Vec<&Job> = self
             .jobs
             .values()
-            .filter(|j| !j.cancelled && j.unplaced_count() > 0)
+            // A job that waits for its team's limit needs no machine.
+            .filter(|j| !j.cancelled && self.wanted(j, j.unplaced_count()) > 0)
             .collect();
         let silence_s = self.silence_s();
         let expected = self.fleet.expected(self, now);
