Tasks that fail together count as one setback; small tests of what failures taught

Cause: each task of an array that failed on a sick machine doubled its job's pause, so 16 tasks failing at once kept the job waiting for two minutes.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -221,7 +221,7 @@
             cancelled: record.cancelled,
             end_in_flight: false,
             predicted_s: f64::INFINITY,
-            failed_on: BTreeSet::new(),
+            failed_on: BTreeMap::new(),
             retry_at: 0.0,
             setbacks: 0,
             first_open: 0,
@@ -599,7 +599,7 @@
         let cause = t.cause.unwrap_or(Cause::Error);
         place.stage = Stage::Exited(cause);
         let ran = place.running_since.map(|s| now - s);
-        let learnable = place.stop.is_none();
+        let (learnable, since) = (place.stop.is_none(), place.since);
         debug!("{}/{}: exited on {name}: {cause:?}", key.0, key.1);
         m.idle_since = now;
         self.clear_place(&key.0, key.1, name, key.2, now);
@@ -613,7 +613,7 @@
                         .learn(&owner, spec.estimate_s, spec.cpus, ran);
                 }
             }
-            Cause::Error => self.failed_on(&key.0, name, now),
+            Cause::Error => self.failed_on(&key.0, name, since, now),
             Cause::NoRoom | Cause::Busy | Cause::Unknown => {
                 warn!("{name}: refused {}/{}: {cause:?}", key.0, key.1);
                 self.refused_on(&key.0, now);
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -21,15 +21,17 @@
         }
     }
 
-    /// A task failed. The machine is suspected when several jobs fail there; the job, when it
-    /// fails on several machines.
-    pub(super) fn failed_on(&mut self, id: &Name, name: &Name, now: Time) {
+    /// A task failed that had been placed at `since`. The machine is suspected when several jobs
+    /// fail there; the job, when it fails on several machines, or again where it failed before.
+    /// Tasks that fail together count once.
+    pub(super) fn failed_on(&mut self, id: &Name, name: &Name, since: Time, now: Time) {
         let report_s = self.settings.cluster.workers.report_s;
         let job_is_faulty = self.jobs.get_mut(id).is_some_and(|job| {
-            let again = !job.failed_on.insert(name.clone());
+            let again = job.failed_on.get(name).is_some_and(|t| since > *t);
+            job.failed_on.insert(name.clone(), now);
             let count = job.failed_on.len();
             let faulty = count >= FAULTY_JOB_MACHINES;
-            if faulty || again {
+            if (faulty || again) && now >= job.retry_at {
                 job.setbacks += 1;
                 let pause_s = report_s * f64::from(1 << job.setbacks.min(MOST_DOUBLINGS));
                 job.retry_at = now + pause_s;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -136,7 +136,7 @@
     /// Seconds until a task could start there. Where the job has failed before comes last, but
     /// stays allowed: there may be no other machine.
     fn delay_s(&self, job: &Job, m: &Machine) -> f64 {
-        let failed = if job.failed_on.contains(&m.name) {
+        let failed = if job.failed_on.contains_key(&m.name) {
             FAILED_PENALTY_S
         } else {
             0.0
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -100,8 +100,8 @@
     pub cancelled: bool,
     pub end_in_flight: bool,
     pub predicted_s: f64,
-    /// Machines on which its tasks have failed since one last completed.
-    pub failed_on: BTreeSet<Name>,
+    /// Machines on which its tasks have failed since one last completed, and when.
+    pub failed_on: BTreeMap<Name, Time>,
     pub retry_at: Time,
     /// Failures in a row that made it pause.
     pub setbacks: u32,
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -94,15 +94,20 @@
     Leading(Box<Core>),
 }
 
+/// What the controller speaks to.
+pub struct Links {
+    pub store: Store,
+    pub peers: Peers,
+    pub inbox: Sender<Message>,
+    pub stage: Sender<Task>,
+    pub wishes: Sender<Wish>,
+    pub pool: Pool,
+}
+
 pub struct Controller {
     settings: Arc<Settings>,
     epoch: Instant,
-    store: Store,
-    peers: Peers,
-    inbox: Sender<Message>,
-    stage: Sender<Task>,
-    wishes: Sender<Wish>,
-    pool: Pool,
+    links: Links,
     role: Role,
     /// The term whose watch goes on; others stop.
     term: Arc<AtomicU64>,
@@ -133,26 +138,11 @@
 const DOUBT_SHARE: f64 = 0.85;
 
 impl Controller {
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        settings: Arc<Settings>,
-        epoch: Instant,
-        store: Store,
-        peers: Peers,
-        inbox: Sender<Message>,
-        stage: Sender<Task>,
-        wishes: Sender<Wish>,
-        pool: Pool,
-    ) -> Controller {
+    pub fn new(settings: Arc<Settings>, epoch: Instant, links: Links) -> Controller {
         let bytes = settings.cluster.limits.ram_mb * 1e6 * END_SHARE;
         Controller {
             epoch,
-            store,
-            peers,
-            inbox,
-            stage,
-            wishes,
-            pool,
+            links,
             role: Role::Follower,
             term: Arc::default(),
             leader: None,
@@ -204,7 +194,7 @@
             let lag = (self.settings.cluster.cloud.list_lag_s / 2.0).max(1.0);
             if now - self.listed >= lag {
                 self.listed = now;
-                self.pool.cloud(CloudCall::List);
+                self.links.pool.cloud(CloudCall::List);
             }
         }
         core.step(now);
@@ -222,13 +212,13 @@
         }
         if deposed {
             self.step_down();
-            let _ = self.wishes.try_send(Wish::Resign);
+            let _ = self.links.wishes.try_send(Wish::Resign);
         }
     }
 
     /// Finds out whether any other controller can be reached.
     fn probe(&self) {
-        let (peers, inbox) = (self.peers.clone(), self.inbox.clone());
+        let (peers, inbox) = (self.links.peers.clone(), self.links.inbox.clone());
         let within = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 2.0);
         let body = move || {
             let reached = peers.names().any(|name| peers.reaches(name, within));
@@ -243,10 +233,10 @@
     /// the workers' ear, so it gets the chance to lead. A node that is alone takes it back.
     fn probed(&mut self, reached: bool) {
         self.probing = false;
-        if !reached && matches!(self.role, Role::Leading(_)) && !self.peers.is_empty() {
+        if !reached && matches!(self.role, Role::Leading(_)) && !self.links.peers.is_empty() {
             warn!("no worker and no peer is heard: hands over");
             self.step_down();
-            let _ = self.wishes.try_send(Wish::Resign);
+            let _ = self.links.wishes.try_send(Wish::Resign);
         }
     }
 
@@ -259,16 +249,16 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Write { id, transaction } => self.pool.write(id, transaction),
+            Effect::Write { id, transaction } => self.links.pool.write(id, transaction),
             Effect::Orders {
                 machine,
                 endpoint,
                 orders,
-            } => self.pool.order(machine, endpoint, orders),
-            Effect::Rent(rent) => self.pool.cloud(CloudCall::Rent(rent)),
-            Effect::Return(names) => self.pool.cloud(CloudCall::Return(names)),
+            } => self.links.pool.order(machine, endpoint, orders),
+            Effect::Rent(rent) => self.links.pool.cloud(CloudCall::Rent(rent)),
+            Effect::Return(names) => self.links.pool.cloud(CloudCall::Return(names)),
             Effect::RaiseToken => {
-                let _ = self.wishes.try_send(Wish::RaiseToken);
+                let _ = self.links.wishes.try_send(Wish::RaiseToken);
             }
             Effect::Ended { id, state } => self.ends.insert(&id, state),
         }
@@ -358,7 +348,7 @@
             }
             // An election that was over before the news of it came through.
             News::Elected { token } if token < self.promised => {
-                let _ = self.wishes.try_send(Wish::Resign);
+                let _ = self.links.wishes.try_send(Wish::Resign);
             }
             News::Elected { token } => {
                 info!("elected with token {token}");
@@ -391,7 +381,11 @@
 
     /// Reads the records, then follows new jobs, for as long as this term lasts.
     fn load(&self, token: u64) {
-        let (store, inbox, term) = (self.store.clone(), self.inbox.clone(), self.term.clone());
+        let (store, inbox, term) = (
+            self.links.store.clone(),
+            self.links.inbox.clone(),
+            self.term.clone(),
+        );
         let hold = Duration::from_secs_f64(self.settings.cluster.workers.report_s);
         let body = move || {
             let current = || term.load(Ordering::Relaxed) == token;
@@ -447,7 +441,7 @@
         };
         if let Err(error) = super::spawn("records", body) {
             warn!("{error:#}");
-            let _ = self.wishes.try_send(Wish::Resign);
+            let _ = self.links.wishes.try_send(Wish::Resign);
         }
     }
 
@@ -462,7 +456,7 @@
         self.promised = self.promised.max(token);
         if promised && ours > 0 {
             self.step_down();
-            let _ = self.wishes.try_send(Wish::Resign);
+            let _ = self.links.wishes.try_send(Wish::Resign);
         }
         let status = if promised { 200 } else { 409 };
         respond(Reply::json(status, &()));
@@ -471,7 +465,11 @@
     /// Asks all other controllers to answer no more reports with lower tokens. A node that does
     /// not answer may still do so; one that has restarted does not.
     fn ask_promises(&self, token: u64) {
-        let (peers, inbox, term) = (self.peers.clone(), self.inbox.clone(), self.term.clone());
+        let (peers, inbox, term) = (
+            self.links.peers.clone(),
+            self.links.inbox.clone(),
+            self.term.clone(),
+        );
         let pause = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 4.0);
         let body = move || {
             let mut left: Vec<&String> = peers.names().collect();
@@ -501,7 +499,7 @@
                 core.set_types(self.types.to_vec());
                 core.recover(records, wall_ms(), now);
                 self.role = Role::Leading(Box::new(core));
-                self.pool.cloud(CloudCall::List);
+                self.links.pool.cloud(CloudCall::List);
                 self.listed = now;
                 self.ask_promises(token);
             }
@@ -581,16 +579,12 @@
                 },
             ));
         }
-        super::gateway::offer(&self.stage, Task::pass_on(leader, body, respond));
+        super::gateway::offer(&self.links.stage, Task::pass_on(leader, body, respond));
     }
 }
 
-fn wall_ms() -> u64 {
+/// The time of day, for records.
+pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |d| d.as_millis() as u64)
 }
-
-/// The time of day, for records.
-pub fn time_of_day_ms() -> u64 {
-    wall_ms()
-}
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -1,7 +1,7 @@
 //! Users' requests: answered from the leader's picture, or else from the state service itself.
 
 use super::busy;
-use super::controller::{time_of_day_ms, Located, Message};
+use super::controller::{wall_ms, Located, Message};
 use crate::bookkeeping::records::*;
 use crate::bookkeeping::store::{Outcome, Store, Unavailable};
 use crate::protocol::cloud::MachineType;
@@ -243,7 +243,7 @@
         }
         let record = OpenRecord {
             spec: spec.clone(),
-            at_ms: time_of_day_ms(),
+            at_ms: wall_ms(),
             cancelled: false,
         };
         let txn = Transaction::default()
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -16,13 +16,13 @@
 use crate::transport::peers::{PeerCall, Peers};
 use crate::transport::Reply;
 use anyhow::Context;
-use controller::{Controller, Message};
+use controller::{Controller, Links, Message};
 use crossbeam::channel::bounded;
 use gateway::{Gateway, Task};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Messages that may wait for the controller: a small share of the sockets that may be open.
+/// Messages that may wait for the controller.
 const INBOX: usize = 512;
 /// Users' requests that may wait, and how many are worked on at a time.
 const STAGE: usize = 64;
@@ -88,16 +88,15 @@
     }
 
     let pool = workers::start(&settings, &store, &inbox)?;
-    let controller = Controller::new(
-        settings.clone(),
-        epoch,
+    let links = Links {
         store,
         peers,
-        inbox.clone(),
-        stage.clone(),
+        inbox: inbox.clone(),
+        stage: stage.clone(),
         wishes,
         pool,
-    );
+    };
+    let controller = Controller::new(settings.clone(), epoch, links);
     let handler = move |call: Call, respond: crate::transport::Respond| match call {
         Call::Report(body) => controller::offer_report(&inbox, body, false, respond),
         call => gateway::offer(&stage, Task::user(call, respond)),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tiny_http::{Method, Request, Response, Server};
@@ -273,7 +274,10 @@
     let state = Arc::new(Mutex::new(State::default()));
     let kept = state.clone();
     let state_address = serve(move |m, u, b| state.lock().unwrap().answer(m, u, b));
-    let cloud_address = serve(|_, url, _| match url.split('?').next().unwrap() {
+    let cloud_down = Arc::new(AtomicBool::new(false));
+    let down = cloud_down.clone();
+    let cloud_address = serve(move |_, url, _| match url.split('?').next().unwrap() {
+        _ if down.load(Ordering::Relaxed) => (503, json!({"error": "trouble"})),
         "/machine_types" => (
             200,
             json!({"hulls": [{"sku": "g8", "cpus": 8, "gpus": 0, "mem_gb": 64,
@@ -281,7 +285,7 @@
             "startup_s": 30, "berths": ["z"]}]}),
         ),
         "/machines/return" => (200, json!({})),
-        _ => (503, json!({"error": "trouble"})),
+        _ => (503, json!({"error": "no capacity"})),
     });
     let worker = Arc::new(Mutex::new(Worker::default()));
     let endpoint = Arc::new(Mutex::new(None));
@@ -296,8 +300,7 @@
 
     let ports: Vec<(u16, u16)> = (0..3).map(|_| (free_port(), free_port())).collect();
     let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let mut nodes: Vec<Option<Killed>> = Vec::new();
-    for i in 0..3 {
+    let start = |i: usize| {
         let mut text = format!(
             "host_name = \"n{i}\"\nzone = \"z\"\nfront = \"127.0.0.1:{}\"\n\
              cluster_listen = \"127.0.0.1:{}\"\n",
@@ -330,8 +333,9 @@
             .stdin(Stdio::null())
             .spawn()
             .unwrap();
-        nodes.push(Some(Killed(child)));
-    }
+        Some(Killed(child))
+    };
+    let mut nodes: Vec<Option<Killed>> = (0..3).map(start).collect();
     let fronts: Vec<String> = ports.iter().map(|p| format!("127.0.0.1:{}", p.0)).collect();
     let report = || {
         // One round of reports to all nodes; only the leader answers with commands.
@@ -387,4 +391,18 @@
     assert_eq!(status, 404);
     let (status, _) = call("POST", other, "/v2/runs", &json!([1])).unwrap();
     assert_eq!(status, 400);
+
+    // All controllers restart while the cloud is down: the machine types are on record.
+    cloud_down.store(true, Ordering::Relaxed);
+    nodes.clear();
+    let _nodes: Vec<Option<Killed>> = (0..3).map(start).collect();
+    let mut another = job.clone();
+    another["name_id"] = json!("req-3");
+    until("a job is accepted without the cloud", || {
+        call("POST", other, "/v2/runs", &another).filter(|a| a.0 == 201 || a.0 == 200)
+    });
+    let (_, told) = until("the end outlives all controllers", || {
+        call("GET", other, "/v2/runs/req-1", &Value::Null).filter(|a| a.0 == 200)
+    });
+    assert_eq!(told["status"], "done");
 }
