A notice stops all tasks of a gang together, so that they can save

Cause: only the task on the machine to be taken was told to stop; the others exit for want of their peer and the save fails.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -259,7 +259,7 @@
         });
     }
 
-    fn live_places(job: &Job) -> impl Iterator<Item = (u32, Name, u64)> + '_ {
+    pub(super) fn live_places(job: &Job) -> impl Iterator<Item = (u32, Name, u64)> + '_ {
         job.tasks.iter().enumerate().flat_map(|(i, task)| {
             let at = task.at.iter();
             at.map(move |(machine, attempt)| (i as u32, machine.clone(), *attempt))
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -4,6 +4,7 @@
 use super::state::*;
 use super::Time;
 use crate::protocol::cloud::MOST_RETURNED;
+use crate::protocol::job::Kind;
 use tracing::{info, warn};
 
 /// Distinct jobs that must fail on a machine before it is held to be faulty.
@@ -81,7 +82,20 @@
             stops.push((key.clone(), if saves { job.spec.save_s } else { 0.0 }));
         }
         for (key, grace_s) in stops {
-            self.stop(name, &key, grace_s, now);
+            self.stop_orderly(name, &key, grace_s, now);
+        }
+    }
+
+    /// Stops a task so that it can save. The tasks of a gang save together or not at all: those
+    /// that are not told within `gang_peer_s` of the first fail, and the save with them.
+    fn stop_orderly(&mut self, name: &Name, key: &PlaceKey, grace_s: f64, now: Time) {
+        let gang = self.jobs.get(&key.0).filter(|j| j.spec.kind == Kind::Gang);
+        let Some(job) = gang else {
+            return self.stop(name, key, grace_s, now);
+        };
+        let all: Vec<(u32, Name, u64)> = Core::live_places(job).collect();
+        for (task, machine, attempt) in all {
+            self.stop(&machine, &(key.0.clone(), task, attempt), grace_s, now);
         }
     }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -43,10 +43,12 @@
 }
 
 fn submit(core: &mut Core, id: &str, rig: &str, precedence: &str, due_s: Option<f64>, seq: u64) {
+    // Gangs save, and need two machines.
+    let (tasks, interval_s) = if rig == "group" { (8, 10.0) } else { (4, 0.0) };
     let body = json!({"name_id":id,"duty":"c","crew":"t","rig":rig,"precedence":precedence,
-        "legs":4,"cpus":1.0,"gpus":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,"hulls":null,
+        "legs":tasks,"cpus":1.0,"gpus":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,"hulls":null,
         "berth":null,"same_place":false,"spread":false,"driftwood":false,"passage_s":20.0,
-        "fix_interval_s":0.0,"fix_s":0.0,"due_s":due_s});
+        "fix_interval_s":interval_s,"fix_s":2.0,"due_s":due_s});
     let spec = JobSpec::parse(body.to_string().as_bytes()).unwrap();
     core.job_opened(
         OpenRecord {
@@ -61,8 +63,19 @@
 }
 
 fn report(core: &mut Core, seq: u64, tasks: Vec<TaskReport>, now: f64) -> Vec<Command> {
+    report_of(core, "m-1", seq, None, tasks, now)
+}
+
+fn report_of(
+    core: &mut Core,
+    machine: &str,
+    seq: u64,
+    notice_s: Option<f64>,
+    tasks: Vec<TaskReport>,
+    now: f64,
+) -> Vec<Command> {
     let report = Report {
-        machine: "m-1".into(),
+        machine: machine.into(),
         endpoint: "127.0.0.1:9".into(),
         kind: "m4".into(),
         zone: "z".into(),
@@ -70,7 +83,7 @@
         session: 1,
         seq,
         token: 1,
-        notice_s: None,
+        notice_s,
         tasks,
     };
     match core.report(&report, now) {
@@ -216,3 +229,52 @@
         .filter(|c| matches!(c, Command::Forget { .. }));
     assert_eq!(forgets.count(), 0, "{commands:?}");
 }
+
+#[test]
+fn a_notice_stops_a_whole_gang_so_that_it_can_save() {
+    let mut core = core();
+    submit(&mut core, "req-1", "group", "normal", None, 1);
+    report_of(&mut core, "m-1", 1, None, Vec::new(), 0.0);
+    report_of(&mut core, "m-2", 1, None, Vec::new(), 0.0);
+    let tasks = launched(&mut core, 0.0);
+    assert_eq!(tasks.len(), 8);
+    assert!(
+        tasks.iter().all(|t| t.1 == tasks[0].1),
+        "one attempt for all"
+    );
+    let (one, other) = tasks.split_at(4);
+    report_of(
+        &mut core,
+        "m-1",
+        2,
+        None,
+        shown(one, TaskState::Running, None),
+        1.0,
+    );
+    report_of(
+        &mut core,
+        "m-2",
+        2,
+        None,
+        shown(other, TaskState::Running, None),
+        1.0,
+    );
+    let mut commands = report_of(
+        &mut core,
+        "m-1",
+        3,
+        Some(8.0),
+        shown(one, TaskState::Running, None),
+        2.0,
+    );
+    commands.extend(report_of(
+        &mut core,
+        "m-2",
+        3,
+        None,
+        shown(other, TaskState::Running, None),
+        2.5,
+    ));
+    let saves = |c: &&Command| matches!(c, Command::Stop { grace_s, .. } if *grace_s >= 2.0);
+    assert_eq!(commands.iter().filter(saves).count(), 8, "{commands:?}");
+}
