--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -269,11 +269,7 @@
     /// What a user is told; `None` for a job that is not open here.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
         let job = self.jobs.get(id)?;
-        let running = job
-            .tasks
-            .iter()
-            .enumerate()
-            .flat_map(|(i, t)| t.at.iter().map(move |(m, a)| (i as u32, m.clone(), *a)))
+        let running = Self::live_places(job)
             .filter(|(task, machine, attempt)| {
                 let key = (job.id.clone(), *task, *attempt);
                 let place = self.machines.get(machine).and_then(|m| m.places.get(&key));
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,7 +2,6 @@
 
 use super::core::{Core, Effect};
 use super::placement::may_use;
-
 use super::state::*;
 use super::Time;
 use crate::protocol::cloud::*;
@@ -223,14 +222,10 @@
 
     /// The work of a job that is left, in processor seconds.
     fn work_left(&self, job: &Job, now: Time) -> f64 {
-        let running: f64 = job
-            .tasks
-            .iter()
-            .enumerate()
-            .flat_map(|(i, t)| t.at.iter().map(move |(m, a)| (i as u32, m, *a)))
+        let running: f64 = Core::live_places(job)
             .filter_map(|(task, machine, attempt)| {
                 let key = (job.id.clone(), task, attempt);
-                let place = self.machines.get(machine)?.places.get(&key)?;
+                let place = self.machines.get(&machine)?.places.get(&key)?;
                 Some(self.predicted_end(&key, place, now) - now)
             })
             .sum();
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -312,10 +312,7 @@
     }
 
     fn cancelled(&self, id: &str) -> Reply {
-        let state = JobState::Cancelled;
-        let _ = self
-            .controller
-            .try_send(Message::Ended(id.to_string(), state));
+        self.ended(id, JobState::Cancelled);
         Reply::json(
             200,
             &serde_json::json!({"name_id": id, "status": "cancelled"}),
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -1,14 +1,15 @@
 //! Generated histories against stand-ins of the state service, the workers and the cloud: lost
 //! answers, late and repeated messages, silent machines and new leaders, checked for the rules.
 
+mod common;
+
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::*;
 use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use stairstage::coordination::recovery::Records;
-use stairstage::protocol::cloud::MachineType;
-use stairstage::protocol::job::{JobSpec, JobState};
+use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::{Change, Item, Transaction};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
@@ -289,18 +290,7 @@
         let txn = Transaction::default().put(LEADER, json!({"node": "a"}));
         let token = self.store.commit(&txn).unwrap();
         let mut core = Core::new(self.settings.clone(), token, self.now);
-        core.set_types(vec![MachineType {
-            name: "m4".into(),
-            cpus: CPUS,
-            gpus: 0.0,
-            memory_gb: 64.0,
-            cache_gb: 10.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 0.5,
-            boot_s: 10.0,
-            zones: vec!["z".into()],
-        }]);
+        core.set_types(vec![common::machine_type()]);
         core.valid_until = f64::INFINITY;
         let records = Records {
             open: self.store.under(OPEN),
@@ -546,15 +536,7 @@
             1 => ("standing", "critical", 2),
             _ => ("group", "normal", 2),
         };
-        let spec = JobSpec::parse(
-            json!({"name_id":id,"duty":"c","crew":"t","rig":rig,"precedence":precedence,
-                "legs":tasks,"cpus":1.0,"gpus":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,
-                "hulls":null,"berth":null,"same_place":false,"spread":false,"driftwood":false,
-                "passage_s":20.0,"fix_interval_s":0.0,"fix_s":0.0,"due_s":null})
-            .to_string()
-            .as_bytes(),
-        )
-        .unwrap();
+        let spec = common::parsed(&common::submission(&id, rig, precedence, tasks));
         let record = OpenRecord {
             spec,
             at_ms: 0,
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1,10 +1,10 @@
 //! Small cases of what failures on the users' bench and in generated histories have taught.
 
+mod common;
+
 use serde_json::json;
 use stairstage::bookkeeping::records::OpenRecord;
 use stairstage::coordination::core::{Core, Effect, Heard, Written};
-use stairstage::protocol::cloud::MachineType;
-use stairstage::protocol::job::JobSpec;
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
 use std::sync::Arc;
@@ -27,29 +27,20 @@
     let settings = Arc::new(Settings::parse("test", SETTINGS).unwrap());
     let mut core = Core::new(settings, 1, 0.0);
     core.valid_until = f64::INFINITY;
-    core.set_types(vec![MachineType {
-        name: "m4".into(),
-        cpus: 4.0,
-        gpus: 0.0,
-        memory_gb: 64.0,
-        cache_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: 0.5,
-        boot_s: 10.0,
-        zones: vec!["z".into()],
-    }]);
+    core.set_types(vec![common::machine_type()]);
     core
 }
 
 fn submit(core: &mut Core, id: &str, rig: &str, precedence: &str, due_s: Option<f64>, seq: u64) {
     // Gangs save, and need two machines.
-    let (tasks, interval_s) = if rig == "group" { (8, 10.0) } else { (4, 0.0) };
-    let body = json!({"name_id":id,"duty":"c","crew":"t","rig":rig,"precedence":precedence,
-        "legs":tasks,"cpus":1.0,"gpus":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,"hulls":null,
-        "berth":null,"same_place":false,"spread":false,"driftwood":false,"passage_s":20.0,
-        "fix_interval_s":interval_s,"fix_s":2.0,"due_s":due_s});
-    let spec = JobSpec::parse(body.to_string().as_bytes()).unwrap();
+    let gang = rig == "group";
+    let mut body = common::submission(id, rig, precedence, if gang { 8 } else { 4 });
+    if gang {
+        body["fix_interval_s"] = json!(10.0);
+        body["fix_s"] = json!(2.0);
+    }
+    body["due_s"] = json!(due_s);
+    let spec = common::parsed(&body);
     core.job_opened(
         OpenRecord {
             spec,
