--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -25,6 +25,11 @@
         self.at = self.at.max(now);
     }
 
+    /// The most that may be taken at once.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// How much may be taken now.
     pub fn level(&mut self, now: f64) -> f64 {
         self.refill(now);
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,12 +1,14 @@
 //! The keys in the state service and what is stored under them.
 //!
 //! - `leader`: who leads, on a lease; its version is the leader's token
-//! - `job/ID`: the job was accepted; write-once, kept for ever
-//! - `open/ID`: the description, until the job's end
+//! - `open/ID`: the job was accepted, and its description; until its end
 //! - `end/ID`: how the job ended; write-once, kept for ever
 //! - `run/ID/CHUNK`: places, attempts and completed tasks of a range of tasks
 //! - `types`: the machine types that the cloud last told
-//! - `machine/NAME`: how to reach a machine that may hold tasks
+//!
+//! A job is accepted by writing `open/ID` while neither that nor `end/ID` is there: one change, and
+//! a copy of it that comes late finds one of the two. Machines have no records: a place names its
+//! machine, whose own report or the cloud's list tells the rest.
 
 use crate::protocol::job::{JobSpec, JobState};
 use serde::{Deserialize, Serialize};
@@ -16,11 +18,6 @@
 pub const OPEN: &str = "open/";
 pub const RUN: &str = "run/";
 pub const TYPES: &str = "types";
-pub const MACHINE: &str = "machine/";
-
-pub fn job_key(id: &str) -> String {
-    format!("job/{id}")
-}
 
 pub fn open_key(id: &str) -> String {
     format!("{OPEN}{id}")
@@ -34,10 +31,6 @@
     format!("{RUN}{id}/{chunk}")
 }
 
-pub fn machine_key(name: &str) -> String {
-    format!("{MACHINE}{name}")
-}
-
 /// Splits `run/ID/CHUNK` into its parts.
 pub fn parse_run_key(key: &str) -> Option<(&str, usize)> {
     let (id, chunk) = key.strip_prefix(RUN)?.rsplit_once('/')?;
@@ -65,14 +58,6 @@
     pub state: JobState,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    pub endpoint: String,
-    pub kind: String,
-    pub zone: String,
-    pub spot: bool,
-}
-
 /// Completed tasks as ranges (first, last), and where the others may be.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -5,7 +5,9 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Answers normally take milliseconds and now and then a few hundred.
 const WITHIN: Duration = Duration::from_millis(1200);
@@ -41,17 +43,36 @@
 #[derive(Clone)]
 pub struct Store {
     client: Client,
+    /// When it last answered anything, in milliseconds since `begun`.
+    answered_ms: Arc<AtomicU64>,
+    begun: Instant,
 }
 
 impl Store {
     pub fn new(remote: SocketAddr, connections: usize) -> Store {
         Store {
             client: Client::new(remote, connections, MOST_BYTES),
+            answered_ms: Arc::default(),
+            begun: Instant::now(),
         }
     }
 
+    /// When the service last answered, by whatever it said but that it is out of order.
+    pub fn last_answer(&self, epoch: Instant) -> Duration {
+        let since_begun = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
+        self.begun.saturating_duration_since(epoch) + since_begun
+    }
+
+    fn noted(&self, answer: Answer) -> Answer {
+        if matches!(answer, Answer::Response(status, _) if status != 503) {
+            let now = self.begun.elapsed().as_millis() as u64;
+            self.answered_ms.store(now, Ordering::Relaxed);
+        }
+        answer
+    }
+
     pub fn get(&self, key: &str) -> Result<Option<Item>, Unavailable> {
-        match self.client.get(&format!("/store/{key}"), WITHIN) {
+        match self.noted(self.client.get(&format!("/store/{key}"), WITHIN)) {
             Answer::Response(404, _) => Ok(None),
             answer => answer.ok().map(Some).ok_or(Unavailable),
         }
@@ -75,7 +96,8 @@
                 None => String::new(),
             };
             let path = format!("/store?under={prefix}{after}&limit={PAGE}");
-            let page: Page = self.client.get(&path, WITHIN).ok().ok_or(Unavailable)?;
+            let answer = self.noted(self.client.get(&path, WITHIN));
+            let page: Page = answer.ok().ok_or(Unavailable)?;
             let revision = *first.get_or_insert(page.revision);
             let empty = page.items.is_empty();
             items.extend(page.items);
@@ -86,7 +108,7 @@
     }
 
     pub fn commit(&self, transaction: &Transaction) -> Outcome {
-        match self.client.post("/txn", transaction, WITHIN) {
+        match self.noted(self.client.post("/txn", transaction, WITHIN)) {
             Answer::Response(200, body) => match serde_json::from_slice::<Applied>(&body) {
                 Ok(applied) => Outcome::Applied(applied.revision),
                 Err(_) => Outcome::Unknown,
@@ -112,13 +134,13 @@
 
     pub fn grant(&self, life: Duration) -> Result<u64, Unavailable> {
         let body = json!({"life_ms": life.as_millis() as u64});
-        let granted: Option<Granted> = self.client.post("/leases", &body, WITHIN).ok();
+        let granted: Option<Granted> = self.noted(self.client.post("/leases", &body, WITHIN)).ok();
         granted.map(|g| g.lease).ok_or(Unavailable)
     }
 
     pub fn renew(&self, lease: u64, within: Duration) -> Renewal {
         let path = format!("/leases/{lease}/extend");
-        match self.client.post(&path, &json!({}), within) {
+        match self.noted(self.client.post(&path, &json!({}), within)) {
             Answer::Response(200, _) => Renewal::Renewed,
             Answer::Response(404, _) => Renewal::Over,
             _ => Renewal::Unavailable,
@@ -138,7 +160,7 @@
     ) -> Result<Option<Events>, Unavailable> {
         let hold_ms = hold.as_millis();
         let path = format!("/changes?under={prefix}&after={after}&hold_ms={hold_ms}");
-        match self.client.get(&path, hold + WITHIN) {
+        match self.noted(self.client.get(&path, hold + WITHIN)) {
             Answer::Response(410, _) => Ok(None),
             answer => answer.ok().map(Some).ok_or(Unavailable),
         }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -5,13 +5,19 @@
 use super::state::*;
 use super::Time;
 use crate::protocol::cloud::*;
-use crate::protocol::job::JobSpec;
-use std::collections::{BTreeMap, VecDeque};
+use crate::protocol::job::{JobSpec, Kind};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
-/// Arrivals of a class that are remembered.
-const REMEMBERED: usize = 16;
+/// Boot times over which arrivals and ends of services are counted.
+const WINDOW_BOOTS: f64 = 4.0;
+/// Seconds of arrivals that are remembered at the most.
+const REMEMBERED: usize = 600;
+/// Machines whose replicas may be moved in one tick, as a share of those that are up, and those
+/// that are looked at for it.
+const MOVED_SHARE: f64 = 0.02;
+const MOVE_CANDIDATES: usize = 8;
 /// What a machine costs at least, in seconds of its price.
 const LEAST_CHARGE_S: f64 = 60.0;
 /// A start counts once the task has run for this long.
@@ -19,42 +25,63 @@
 /// The share of a job's time that its tasks may take to be worked off.
 const HORIZON_SHARE: f64 = 0.5;
 
-struct Arrivals {
+/// How many replicas of a class came and went of late, by the second.
+struct Traffic {
     spec: Arc<JobSpec>,
-    times: VecDeque<Time>,
+    /// What was there at first is no sign of what comes.
+    first: Time,
+    came: BTreeMap<i64, u32>,
+    went: BTreeMap<i64, u32>,
+}
+
+fn count(seconds: &mut BTreeMap<i64, u32>, replicas: u32, now: Time) {
+    *seconds.entry(now.floor() as i64).or_default() += replicas;
+    while seconds.len() > REMEMBERED {
+        seconds.pop_first();
+    }
+}
+
+fn since(seconds: &BTreeMap<i64, u32>, from: Time) -> f64 {
+    let counts = seconds.range(from.ceil() as i64..).map(|(_, n)| *n);
+    f64::from(counts.sum::<u32>())
 }
 
 #[derive(Default)]
 pub struct Fleet {
-    services: BTreeMap<String, Arrivals>,
+    services: BTreeMap<String, Traffic>,
     /// Type, zone and kind of rentals that the cloud refused, and until when that is remembered.
     refused: BTreeMap<(Name, Name, bool), Time>,
     renting: BTreeMap<String, Rent>,
+    /// Whether a rental was answered, so that the next one need not wait for the next tick.
+    again: bool,
+    managed: Time,
 }
 
 impl Fleet {
     pub(super) fn arrived(&mut self, spec: &Arc<JobSpec>, now: Time) {
-        if spec.kind != crate::protocol::job::Kind::Service {
+        if spec.kind != Kind::Service {
             return;
         }
-        let entry = self
-            .services
-            .entry(spec.class.clone())
-            .or_insert_with(|| Arrivals {
-                spec: spec.clone(),
-                times: VecDeque::new(),
-            });
-        entry.spec = spec.clone();
-        for _ in 0..spec.tasks.min(REMEMBERED as u32) {
-            entry.times.push_back(now);
-        }
-        while entry.times.len() > REMEMBERED {
-            entry.times.pop_front();
+        let entry = self.services.entry(spec.class.clone());
+        let traffic = entry.or_insert_with(|| Traffic {
+            spec: spec.clone(),
+            first: now,
+            came: BTreeMap::new(),
+            went: BTreeMap::new(),
+        });
+        traffic.spec = spec.clone();
+        traffic.first = traffic.first.min(now);
+        count(&mut traffic.came, spec.tasks, now);
+    }
+
+    pub(super) fn left(&mut self, spec: &JobSpec, now: Time) {
+        if let Some(traffic) = self.services.get_mut(&spec.class) {
+            count(&mut traffic.went, spec.tasks, now);
         }
     }
 
-    /// Replicas that are expected within the time that a machine takes to boot: their shape,
-    /// number and image.
+    /// Replicas that are expected within the time that a machine takes to boot, beyond those whose
+    /// room comes free by then: their shape, number and image.
     pub(super) fn expected(&self, core: &Core, now: Time) -> Vec<(Room, u32, String)> {
         let boot_s = core
             .types
@@ -65,14 +92,15 @@
             return Vec::new();
         }
         let warm = core.settings.policy.warm;
-        let of_class = |a: &Arrivals| {
-            let oldest = a.times.front()?;
-            let rate = a.times.len() as f64 / (now - oldest).max(4.0 * boot_s);
-            let mean = rate * boot_s;
-            let count = (mean + warm * mean.sqrt()).ceil() as u32;
-            Some((Room::of(&a.spec), count, a.spec.image.clone()))
+        let window = WINDOW_BOOTS * boot_s;
+        let of_class = |t: &Traffic| {
+            let from = (now - window).max(t.first + core.settings.cluster.workers.report_s);
+            let came = since(&t.came, from) * boot_s / window;
+            let went = since(&t.went, from) * boot_s / window;
+            let count = ((came - went).max(0.0) + warm * came.sqrt()).ceil() as u32;
+            (Room::of(&t.spec), count, t.spec.image.clone())
         };
-        self.services.values().filter_map(of_class).collect()
+        self.services.values().map(of_class).collect()
     }
 }
 
@@ -103,10 +131,20 @@
 }
 
 impl Core {
+    /// Rents on as soon as answers are in, but not more often than the cloud takes calls.
+    pub(super) fn rent_on(&mut self, now: Time) {
+        let pause_s = 1.0 / self.settings.cluster.cloud.rps;
+        if self.fleet.again && now - self.fleet.managed >= pause_s {
+            self.manage_fleet(now);
+        }
+    }
+
     pub(super) fn manage_fleet(&mut self, now: Time) {
         if self.types.is_empty() {
             return;
         }
+        self.fleet.again = false;
+        self.fleet.managed = now;
         self.fleet.refused.retain(|_, until| *until > now);
         self.return_idle(now);
         self.consolidate(now);
@@ -178,7 +216,7 @@
             let free: u32 = self
                 .machines
                 .values()
-                .filter(|m| m.takes_tasks(now, self.silence_s()) && !m.spot)
+                .filter(|m| m.takes_tasks(now, self.silence_s(), self.first_token) && !m.spot)
                 .map(|m| self.free_room(m).slots(&need))
                 .sum();
             let left = absorb(&need, false, count.saturating_sub(free));
@@ -209,28 +247,26 @@
         let present = self
             .machines
             .values()
-            .filter(|m| m.phase == Phase::Booting || m.takes_tasks(now, silence_s))
+            .filter(|m| {
+                m.phase == Phase::Booting || m.takes_tasks(now, silence_s, self.first_token)
+            })
             .map(|m| {
                 let cpus = self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
-                let services = m
-                    .live()
-                    .filter(|(key, _)| self.jobs.get(&key.0).is_some_and(Job::is_service));
-                cpus - services.map(|(_, p)| p.need.cpus).sum::<f64>()
+                let services = m.live().filter(|(_, p)| p.load.run_s.is_none());
+                cpus - services.map(|(_, p)| p.load.need.cpus).sum::<f64>()
             });
         coming.chain(present).sum()
     }
 
-    /// The work of a job that is left, in processor seconds.
-    fn work_left(&self, job: &Job, now: Time) -> f64 {
-        let running: f64 = Core::live_places(job)
-            .filter_map(|(task, machine, attempt)| {
-                let key = (job.id.clone(), task, attempt);
-                let place = self.machines.get(&machine)?.places.get(&key)?;
-                Some(self.predicted_end(&key, place, now) - now)
-            })
-            .sum();
-        let waiting = f64::from(job.unplaced_count()) * job.predicted_s;
-        (running + waiting) * job.spec.cpus
+    /// The work of each job that runs, in processor seconds to its predicted end.
+    fn work_running(&self, now: Time) -> HashMap<&str, f64> {
+        let mut work: HashMap<&str, f64> = HashMap::new();
+        for m in self.machines.values() {
+            for (key, p) in m.live().filter(|(_, p)| p.load.run_s.is_some()) {
+                *work.entry(&key.0).or_default() += (p.predicted_end(now) - now) * p.load.need.cpus;
+            }
+        }
+        work
     }
 
     /// What the queue needs: enough that each job, after those before it, ends in its time. New
@@ -245,10 +281,12 @@
         let boots = self.types.iter().map(|t| t.boot_s);
         let boot_s = boots.sum::<f64>() / self.types.len().max(1) as f64;
         let have = self.batch_cpus(now);
+        let running = self.work_running(now);
         let mut work = 0.0;
         let mut best: Option<(f64, &Job)> = None;
         for job in batches {
-            work += self.work_left(job, now);
+            let waiting = f64::from(job.unplaced_count()) * job.predicted_s * job.spec.cpus;
+            work += waiting + running.get(&*job.id).copied().unwrap_or(0.0);
             if self.wanted(job, job.unplaced_count()) == 0 {
                 continue;
             }
@@ -383,12 +421,12 @@
                 continue;
             }
             let (kind, zone) = (rent.kind.as_str().into(), rent.zone.as_str().into());
-            let m = Machine::new(name.clone(), kind, zone, rent.spot, now);
+            let mut m = Machine::new(name.clone(), kind, zone, rent.spot, now);
+            m.ours = true;
             self.machines.insert(name, m);
         }
-        if self.leads(now) {
-            self.manage_fleet(now);
-        }
+        // An offer that gave all that was asked for may have more.
+        self.fleet.again = true;
     }
 
     /// Takes in the cloud's list. It lags: it shows what we do not know, and proves nothing else.
@@ -406,6 +444,10 @@
                 self.machines.insert(name.clone(), m);
             }
             let m = self.machines.get_mut(&name).expect("present");
+            m.describe(&l.kind, &l.zone, l.spot);
+            if m.endpoint.is_none() {
+                m.endpoint.clone_from(&l.endpoint);
+            }
             if l.state == MachineState::Failed && !m.listed_failed {
                 warn!("{name}: the cloud lists it as failed");
                 m.listed_failed = true;
@@ -415,45 +457,59 @@
 
     /// Gives back machines that stand idle, if what is expected fits without them.
     fn return_idle(&mut self, now: Time) {
-        let waiting: Vec<&Job> = self
-            .jobs
-            .values()
-            // A job that waits for its team's limit needs no machine.
-            .filter(|j| !j.cancelled && self.wanted(j, j.unplaced_count()) > 0)
-            .collect();
         let silence_s = self.silence_s();
-        let expected = self.fleet.expected(self, now);
         let idle_share = self.settings.policy.idle;
-        let mut kept: Vec<&Machine> = self
+        let mut idle: Vec<(f64, &Machine)> = self
             .machines
             .values()
-            .filter(|m| m.takes_tasks(now, silence_s))
-            .collect();
-        let mut idle: Vec<(f64, Name)> = kept
-            .iter()
-            .filter(|m| m.places.values().all(|p| !p.is_live()))
+            .filter(|m| m.takes_tasks(now, silence_s, self.first_token) && m.is_empty())
             .filter_map(|m| {
                 let t = self.type_of(&m.kind)?;
                 let price = if m.spot { t.spot_price } else { t.price };
                 let long = now - m.idle_since > idle_share * t.boot_s;
                 let paid = now - m.rented > LEAST_CHARGE_S;
-                (long && paid).then(|| (price, m.name.clone()))
+                (long && paid).then_some((price, m))
             })
             .collect();
+        if idle.is_empty() {
+            return;
+        }
+        // A job that waits for its team's limit needs no machine.
+        let waiting: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled && self.wanted(j, j.unplaced_count()) > 0)
+            .collect();
+        let expected = self.fleet.expected(self, now);
+        let slots = |need: &Room| -> u32 {
+            self.machines
+                .values()
+                .filter(|m| !m.spot && m.takes_tasks(now, silence_s, self.first_token))
+                .map(|m| self.free_room(m).slots(need))
+                .sum()
+        };
+        let mut spare: Vec<(Room, i64)> = expected
+            .iter()
+            .map(|(need, count, _)| (*need, i64::from(slots(need)) - i64::from(*count)))
+            .collect();
         // The dearest first.
         idle.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut returns = Vec::new();
-        for (_, name) in idle {
-            let m = &self.machines[&name];
-            let wanted = waiting.iter().any(|j| may_use(j, m));
-            let rest_suffices = expected.iter().all(|(need, count, _)| {
-                let rest = kept.iter().filter(|k| !k.spot && k.name != name);
-                let slots: u32 = rest.map(|k| self.free_room(k).slots(need)).sum();
-                m.spot || slots >= *count
-            });
-            if !wanted && rest_suffices {
-                kept.retain(|k| k.name != name);
-                returns.push(name);
+        for (_, m) in idle {
+            let room = self.free_room(m);
+            let missed = |need: &Room| {
+                if m.spot {
+                    0
+                } else {
+                    i64::from(room.slots(need))
+                }
+            };
+            let suffices = spare.iter().all(|(need, n)| *n >= missed(need));
+            if suffices && !waiting.iter().any(|j| may_use(j, m)) {
+                for (need, n) in &mut spare {
+                    *n -= missed(need);
+                }
+                returns.push(m.name.clone());
             }
         }
         for name in returns {
@@ -462,37 +518,42 @@
         }
     }
 
-    /// Moves replicas off a machine that holds nothing else, where others have room for them and
-    /// their images, so that it can be returned.
+    /// Moves replicas off machines that hold nothing else, where others have room for them and
+    /// their images, so that these can be returned.
     fn consolidate(&mut self, now: Time) {
-        let busy = self
-            .machines
-            .values()
-            .any(|m| m.draining && m.phase == Phase::Up);
-        let waiting = self
-            .jobs
-            .values()
-            .any(|j| !j.cancelled && j.unplaced_count() > 0);
-        if busy || waiting {
+        let up = self.machines.values().filter(|m| m.phase == Phase::Up);
+        let (mut count, mut moving) = (0, 0);
+        for m in up {
+            count += 1;
+            moving += usize::from(m.draining);
+        }
+        let most = ((MOVED_SHARE * count as f64) as usize).max(1);
+        let waiting = || {
+            self.jobs
+                .values()
+                .any(|j| !j.cancelled && j.unplaced_count() > 0)
+        };
+        if moving >= most || waiting() {
             return;
         }
         let silence_s = self.silence_s();
-        let steady: Vec<&Machine> = self
+        let mut steady: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|m| !m.spot && m.takes_tasks(now, silence_s))
+            .filter(|m| !m.spot && m.takes_tasks(now, silence_s, self.first_token))
             .collect();
-        let used = |m: &Machine| m.live().map(|(_, p)| p.need.cpus).sum::<f64>();
         let mut candidates: Vec<&Machine> = steady
             .iter()
             .copied()
             .filter(|m| !m.is_empty() && self.holds_settled_replicas(m, now))
             .collect();
-        candidates.sort_by(|a, b| used(a).total_cmp(&used(b)));
-        let movable = candidates.into_iter().find(|m| {
-            let rest = steady.iter().copied().filter(|r| r.name != m.name);
-            self.fits_elsewhere(m, rest.collect(), now)
-        });
+        candidates.sort_by(|a, b| a.used().cpus.total_cmp(&b.used().cpus));
+        // The fullest others come first: what they take leaves the emptier ones to follow.
+        steady.sort_by(|a, b| self.free_room(a).cpus.total_cmp(&self.free_room(b).cpus));
+        let movable = candidates
+            .into_iter()
+            .take(MOVE_CANDIDATES)
+            .find(|m| self.fits_elsewhere(m, &steady, now));
         let Some(m) = movable else {
             return;
         };
@@ -514,37 +575,50 @@
 
     /// Whether all on a machine are replicas that have run for long enough to count as started.
     fn holds_settled_replicas(&self, m: &Machine, now: Time) -> bool {
-        m.live().all(|(key, place)| {
-            let service = self.jobs.get(&key.0).is_some_and(Job::is_service);
+        m.live().all(|(_, place)| {
             let settled = place
                 .running_since
                 .is_some_and(|t| now - t > START_COUNTS_S);
-            service && settled && place.stop.is_none()
+            place.load.run_s.is_none() && settled && place.stop.is_none()
         })
     }
 
     /// Whether a machine's replicas, and those that are expected, fit on the others.
-    fn fits_elsewhere(&self, m: &Machine, rest: Vec<&Machine>, now: Time) -> bool {
-        let mut rooms: Vec<Room> = rest.iter().map(|r| self.free_room(r)).collect();
+    fn fits_elsewhere(&self, m: &Machine, others: &[&Machine], now: Time) -> bool {
+        let mut taken: HashMap<usize, Room> = HashMap::new();
         let mut put = |need: &Room, allowed: &dyn Fn(&Machine) -> bool| {
-            let found = (0..rest.len()).find(|i| rooms[*i].fits(need) && allowed(rest[*i]));
+            let found = (0..others.len()).find(|i| {
+                let mut room = self.free_room(others[*i]);
+                room.take(&taken.get(i).copied().unwrap_or_default());
+                others[*i].name != m.name && room.fits(need) && allowed(others[*i])
+            });
             if let Some(i) = found {
-                rooms[i].take(need);
+                taken.entry(i).or_default().add(need);
             }
             found.is_some()
         };
         let moved = m.live().all(|(key, place)| {
             let job = &self.jobs[&key.0];
             let zoned = job.spec.one_zone || job.spec.spread;
-            put(&place.need, &|r| {
+            put(&place.load.need, &|r| {
                 let same_zone = !zoned || r.zone == m.zone;
                 same_zone && may_use(job, r) && r.images.contains_key(&job.spec.image)
             })
         });
         let expected = self.fleet.expected(self, now);
         moved
-            && expected
-                .iter()
-                .all(|(need, count, _)| (0..*count).all(|_| put(need, &|_| true)))
+            && expected.iter().all(|(need, count, _)| {
+                let free: u32 = others
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, r)| r.name != m.name)
+                    .map(|(i, r)| {
+                        let mut room = self.free_room(r);
+                        room.take(&taken.get(&i).copied().unwrap_or_default());
+                        room.slots(need)
+                    })
+                    .sum();
+                free >= *count
+            })
     }
 }
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -14,6 +14,9 @@
 /// Each further failure of a job doubles its pause, up to this often.
 const MOST_DOUBLINGS: u32 = 6;
 
+/// Machines that are probed in one tick.
+const PROBES: usize = 64;
+
 impl Core {
     pub(super) fn succeeded_on(&mut self, name: &Name, image: &str, now: Time) {
         if let Some(m) = self.machines.get_mut(name) {
@@ -75,7 +78,7 @@
                 continue;
             };
             // Work that ends in time, by its prediction, is left to end.
-            if self.predicted_end(key, place, now) < now + left_s {
+            if place.predicted_end(now) < now + left_s {
                 continue;
             }
             let saves = job.spec.checkpoint_s > 0.0 && job.spec.save_s < left_s;
@@ -103,7 +106,12 @@
     pub(super) fn check_machines(&mut self, now: Time) {
         let silence_s = self.silence_s();
         let leads_since = self.leads_since;
-        let quiet = |m: &Machine| now - m.heard.unwrap_or(m.rented).max(leads_since) > silence_s;
+        // One that heeds no answer is as good as silent, though it is heard.
+        let quiet = |m: &Machine| {
+            let last = m.heard.unwrap_or(m.rented);
+            let last = m.deaf_since.map_or(last, |t| t.min(last));
+            now - last.max(leads_since) > silence_s
+        };
         let up = self
             .machines
             .values()
@@ -152,6 +160,23 @@
             self.give_back(&name);
         }
         self.send_returns();
+        self.probe_machines(now);
+    }
+
+    /// Speaks to machines that have not been heard, or that heed no answer: a reply shows that the
+    /// way there is open, and that no older command reaches them any more.
+    fn probe_machines(&mut self, now: Time) {
+        let names: Vec<Name> = self
+            .machines
+            .values()
+            .filter(|m| m.phase == Phase::Up && (m.heard.is_none() || m.deaf_since.is_some()))
+            .filter(|m| !m.order_in_flight && now >= m.no_orders_until && m.endpoint.is_some())
+            .map(|m| m.name.clone())
+            .take(PROBES)
+            .collect();
+        for name in names {
+            self.order(&name, Vec::new());
+        }
     }
 
     /// Decides that a machine is to be returned; it counts until the cloud has confirmed it.
--- /dev/null
+++ b/src/coordination/jobs.rs
@@ -0,0 +1,145 @@
+//! Jobs: their descriptions, their state as users are told it, and their completed tasks.
+
+use super::core::*;
+use super::state::*;
+use super::Time;
+use crate::bookkeeping::records::OpenRecord;
+use crate::protocol::job::{JobState, JobStatus, Kind};
+use std::sync::Arc;
+use tracing::{debug, info};
+
+impl Core {
+    pub(super) fn owner(job: &Job) -> String {
+        format!("{}/{}", job.spec.team, job.spec.class)
+    }
+
+    /// A job's description, as recorded; `cancelled` when its user has taken it back.
+    pub fn job_open(&mut self, record: OpenRecord, seq: u64, now: Time, arrived: Time) {
+        let id: Name = record.spec.id.as_str().into();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.seq = job.seq.min(seq);
+            if record.cancelled && !job.cancelled {
+                self.cancel(&id, now);
+            }
+            return;
+        }
+        let tasks = record.spec.tasks as usize;
+        let chunks = tasks.div_ceil(self.tasks_a_chunk);
+        let spec = Arc::new(record.spec);
+        if !record.cancelled {
+            self.fleet.arrived(&spec, arrived);
+        }
+        let mut job = Job::new(spec, seq, arrived, chunks, f64::INFINITY);
+        job.cancelled = record.cancelled;
+        if !job.is_service() {
+            let spec = &job.spec;
+            job.predicted_s =
+                self.predictor
+                    .predict(&Self::owner(&job), spec.estimate_s, spec.cpus);
+        }
+        debug!("{id}: known, class {}, {tasks} tasks", job.spec.class);
+        if job.cancelled {
+            self.over.insert(id.clone());
+        }
+        self.jobs.insert(id, job);
+        self.stirred = true;
+    }
+
+    pub fn cancel(&mut self, id: &str, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        let (id, spec) = (job.id.clone(), job.spec.clone());
+        let at: Vec<(u32, Name, u64)> = Self::live_places(job).collect();
+        info!("{id}: cancelled, {} places to clear", at.len());
+        for (task, machine, attempt) in at {
+            let key = (id.clone(), task, attempt);
+            self.stop(&machine, &key, 0.0, now);
+        }
+        self.over.insert(id.clone());
+        self.fleet.left(&spec, now);
+        self.effects.push(Effect::Ended {
+            id,
+            state: JobState::Cancelled,
+        });
+    }
+
+    pub(super) fn live_places(job: &Job) -> impl Iterator<Item = (u32, Name, u64)> + '_ {
+        job.tasks.iter().enumerate().flat_map(|(i, task)| {
+            let at = task.at.iter();
+            at.map(move |(machine, attempt)| (i as u32, machine.clone(), *attempt))
+        })
+    }
+
+    /// What a user is told; `None` for a job that is not open here.
+    pub fn status(&self, id: &str) -> Option<JobStatus> {
+        let job = self.jobs.get(id)?;
+        let running = job.running;
+        let state = match (job.cancelled, running + job.done) {
+            (true, _) => JobState::Cancelled,
+            (false, 0) => JobState::Pending,
+            (false, _) => JobState::Running,
+        };
+        Some(JobStatus {
+            id: id.to_string(),
+            state,
+            done: job.done,
+            running,
+        })
+    }
+
+    pub(super) fn task_done(&mut self, id: &Name, task: u32, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let is_gang = job.spec.kind == Kind::Gang;
+        // The tasks of a gang complete together.
+        let tasks = match is_gang {
+            true => 0..job.tasks.len() as u32,
+            false => task..task + 1,
+        };
+        let mut touched = Vec::new();
+        for t in tasks {
+            let Some(slot) = job.tasks.get_mut(t as usize) else {
+                continue;
+            };
+            if !slot.done {
+                slot.done = true;
+                job.done += 1;
+                touched.push(t);
+            }
+        }
+        job.failed_on.clear();
+        job.setbacks = 0;
+        // Another place of a task that is done is of no use.
+        let rest: Vec<(Name, u64)> = match is_gang {
+            true => Vec::new(),
+            false => job
+                .tasks
+                .get(task as usize)
+                .map_or(Vec::new(), |t| t.at.clone()),
+        };
+        if job.is_over() {
+            self.over.insert(id.clone());
+        }
+        for t in touched {
+            self.touch(id, t, false, now);
+        }
+        for (machine, attempt) in rest {
+            self.stop(&machine, &(id.clone(), task, attempt), 0.0, now);
+        }
+    }
+
+    pub(super) fn recover_done(&mut self, id: &Name, task: u32) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            if let Some(slot) = job.tasks.get_mut(task as usize).filter(|t| !t.done) {
+                slot.done = true;
+                job.done += 1;
+            }
+        }
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,19 +1,24 @@
 //! Leadership and the scheduler.
 //!
 //! Everything but [`election`] is clock-free: it takes events with their time, and returns effects
-//! for other actors to carry out. [`core`] owns the state and guards the invariants that the rules
-//! rest on; [`queue`], [`backfill`], [`placement`], [`predict`], [`fleet`] and [`health`] decide.
+//! for other actors to carry out. [`core`] owns the state; [`places`] guards the invariants that the
+//! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`], [`backfill`], [`placement`], [`predict`], [`fleet`] and [`health`] decide.
 
 pub mod backfill;
 pub mod core;
 pub mod election;
 pub mod fleet;
 pub mod health;
+pub mod jobs;
+pub mod orders;
 pub mod placement;
+pub mod places;
 pub mod predict;
 pub mod queue;
 pub mod recovery;
+pub mod reports;
 pub mod state;
+pub mod writes;
 
 /// Seconds of the steady clock since the process began.
 pub type Time = f64;
--- /dev/null
+++ b/src/coordination/orders.rs
@@ -0,0 +1,189 @@
+//! Commands to workers, and the tokens that they carry.
+
+use super::core::*;
+use super::state::*;
+use super::Time;
+use crate::protocol::worker::{Cause, Command, Orders};
+use tracing::debug;
+
+/// Exited tasks that may stay on a machine, on average, until a new token lets them be forgotten.
+const EXITED_A_MACHINE: usize = 4;
+
+impl Core {
+    /// What a worker should be told now: in the answer to its report `reply`, or directly. Only
+    /// what was never sent goes directly, and `forget` never does: it must not overtake a launch.
+    pub(super) fn commands(&mut self, name: &Name, reply: Option<u64>, now: Time) -> Vec<Command> {
+        let Some(m) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        let (token, session_token) = (self.token, m.token);
+        // A leader in doubt keeps tasks alive, but starts nothing.
+        let starts = now < self.valid_until;
+        let mut commands = Vec::new();
+        for (key, place) in m.places.iter_mut() {
+            if commands.len() >= MOST_COMMANDS {
+                break;
+            }
+            let (task, attempt) = (format!("{}/{}", key.0, key.1), key.2);
+            match place.stage {
+                Stage::Planned => {}
+                Stage::Started | Stage::Seen(_) => {
+                    if let Some(stop) = &mut place.stop {
+                        if reply.is_some() || !stop.sent {
+                            stop.sent = true;
+                            let grace_s = stop.grace_s;
+                            commands.push(Command::Stop {
+                                task,
+                                attempt,
+                                grace_s,
+                            });
+                        }
+                    } else if place.stage == Stage::Started && !place.recovered && starts {
+                        let sent = place.orders_token.is_some() || place.reply_seq.is_some();
+                        if let Some(seq) = reply {
+                            place.reply_seq = Some(seq);
+                        } else if !sent {
+                            place.orders_token = Some(token);
+                        } else {
+                            continue;
+                        }
+                        commands.push(Command::Start { task, attempt });
+                    }
+                }
+                Stage::Exited(cause) => {
+                    // A launch that went straight to the worker may come again, and after a
+                    // `forget` it would start the task anew.
+                    let safe = place.orders_token.is_none_or(|t| session_token > t);
+                    let kept = cause == Cause::Done
+                        && self.jobs.get(&key.0).is_some_and(|j| {
+                            let chunk = &j.chunks[key.1 as usize / self.tasks_a_chunk];
+                            chunk.dirty.is_some() || chunk.in_flight
+                        });
+                    if reply.is_some() && safe && !kept {
+                        commands.push(Command::Forget { task, attempt });
+                    }
+                }
+            }
+        }
+        // Stops first: what they free, a launch behind them may take.
+        commands.sort_by_key(|c| match c {
+            Command::Stop { .. } => 0,
+            Command::Forget { .. } => 1,
+            Command::Start { .. } => 2,
+        });
+        commands
+    }
+
+    /// Sends straight to workers what should not wait for their next report.
+    pub(super) fn send_orders(&mut self, now: Time) {
+        if !self.leads(now) {
+            return;
+        }
+        let names = std::mem::take(&mut self.to_order);
+        for name in names {
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            if m.order_in_flight {
+                // Its answer brings the machine back here.
+                continue;
+            }
+            let reachable = m.phase == Phase::Up && m.endpoint.is_some() && m.heard.is_some();
+            if !reachable || now < m.no_orders_until {
+                // The answer to its next report brings what there is.
+                continue;
+            }
+            let commands = self.commands(&name, None, now);
+            if !commands.is_empty() {
+                self.order(&name, commands);
+            }
+        }
+    }
+
+    /// Sends commands (perhaps none: then only the token and a report are exchanged).
+    pub(super) fn order(&mut self, name: &Name, commands: Vec<Command>) {
+        let token = self.token;
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let Some(endpoint) = m.endpoint.clone() else {
+            return;
+        };
+        m.order_in_flight = true;
+        self.effects.push(Effect::Orders {
+            machine: name.clone(),
+            endpoint,
+            orders: Orders {
+                token,
+                session: m.session,
+                commands,
+            },
+        });
+    }
+
+    pub fn ordered(&mut self, name: &Name, result: Ordered, now: Time) {
+        let pause = self.settings.cluster.workers.report_s;
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.order_in_flight = false;
+        self.to_order.insert(name.clone());
+        if let Ordered::Executed(_) = result {
+            m.heeds(true, now);
+        }
+        match result {
+            Ordered::Executed(r) | Ordered::Rejected(Some(r)) => {
+                if r.token > self.token {
+                    self.deposed = true;
+                } else if r.machine == **name {
+                    self.absorb(&r, now);
+                }
+            }
+            // The rest goes with the answers to its reports; nothing is concluded.
+            Ordered::Rejected(None) | Ordered::NotSent | Ordered::Unknown => {
+                m.no_orders_until = now + pause;
+            }
+        }
+    }
+
+    /// Draws a new token when launches that may still arrive hold something up.
+    pub(super) fn raise_token(&mut self, now: Time) {
+        let workers = &self.settings.cluster.workers;
+        if self.raising || now - self.raised_at < workers.lease_s / 2.0 {
+            return;
+        }
+        let token = self.token;
+        let held = |p: &Place| p.orders_token == Some(token);
+        let (mut exited, mut most, mut unwanted) = (0, 0, false);
+        for m in self.machines.values() {
+            let mut here = 0;
+            for (key, p) in m.places.iter().filter(|(_, p)| held(p)) {
+                match p.stage {
+                    Stage::Exited(_) => here += 1,
+                    Stage::Started => {
+                        let cancelled = || self.jobs.get(&key.0).is_none_or(|j| j.cancelled);
+                        unwanted |= p.stop.is_some() || cancelled();
+                    }
+                    _ => {}
+                }
+            }
+            exited += here;
+            most = most.max(here);
+        }
+        // Every worker reports a new token at once, so exited tasks must be worth it.
+        let many = exited > (EXITED_A_MACHINE * self.machines.len()).max(MOST_COMMANDS / 4);
+        if unwanted || many || most > MOST_COMMANDS / 4 {
+            self.raising = true;
+            self.effects.push(Effect::RaiseToken);
+        }
+    }
+
+    pub fn token_raised(&mut self, token: Option<u64>, now: Time) {
+        self.raising = false;
+        self.raised_at = now;
+        if let Some(token) = token.filter(|t| *t > self.token) {
+            debug!("token {token}");
+            self.token = token;
+        }
+    }
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,7 +5,6 @@
 use super::queue::{outranks, Blocked};
 use super::state::*;
 use super::Time;
-use crate::protocol::job::Kind;
 use std::collections::{HashMap, HashSet};
 
 pub(super) struct Plan {
@@ -38,6 +37,21 @@
     zones: HashMap<Name, HashMap<Name, u32>>,
     victims: HashSet<PlaceKey>,
     plans: Plans,
+    full_for: Vec<Full>,
+}
+
+/// A shape of tasks that has found no room in this pass.
+struct Full {
+    need: Room,
+    /// Whether it could have used machines that the cloud may take back.
+    spot: bool,
+}
+
+impl Full {
+    /// Whether tasks of the job can find no room either: they are no smaller, and may use no more.
+    fn covers(&self, job: &Job, need: &Room) -> bool {
+        need.fits(&self.need) && (self.spot || !job.spec.spot)
+    }
 }
 
 /// Seconds of waiting that a free start is worth against stopping other work.
@@ -51,7 +65,9 @@
         let silence_s = core.silence_s();
         let open = machines
             .iter()
-            .map(|m| m.takes_tasks(now, silence_s) && core.type_of(&m.kind).is_some())
+            .map(|m| {
+                m.takes_tasks(now, silence_s, core.first_token) && core.type_of(&m.kind).is_some()
+            })
             .collect();
         let rooms = machines.iter().map(|m| core.free_room(m)).collect();
         let rank = core.fill_order(&machines);
@@ -67,6 +83,7 @@
             zones: HashMap::new(),
             victims: HashSet::new(),
             plans: Plans::default(),
+            full_for: Vec::new(),
         }
     }
 
@@ -174,22 +191,35 @@
             return Err(Blocked::Rule);
         }
         let need = job.need();
-        let candidates: Vec<usize> = self.allowed(job).collect();
         let mut best: Option<(f64, usize, Vec<PlaceKey>)> = None;
+        let candidates: Vec<usize> = self.allowed(job).collect();
+        self.core.look(candidates.len());
+        for i in &candidates {
+            if !self.rooms[*i].fits(&need) || !self.zone_allowed(job, &self.machines[*i].zone) {
+                continue;
+            }
+            // Among equals the fullest: others can then empty and be returned.
+            let packing = 0.1 * self.free_share(*i);
+            let cost = self.delay_s(job, self.machines[*i]) + packing;
+            if best.as_ref().is_none_or(|b| cost < b.0) {
+                best = Some((cost, *i, Vec::new()));
+            }
+        }
         for i in candidates {
+            // Stopping work costs at least this much: most machines need not be looked into.
+            let least = self.delay_s(job, self.machines[i]) + PREEMPTION_PENALTY_S;
+            if best.as_ref().is_some_and(|b| b.0 <= least) || self.rooms[i].fits(&need) {
+                continue;
+            }
             if !self.zone_allowed(job, &self.machines[i].zone) {
                 continue;
             }
+            self.core.look(self.machines[i].places.len());
             let Some(victims) = self.make_room(job, i, &need) else {
                 continue;
             };
-            let lost = match victims.is_empty() {
-                true => 0.0,
-                false => PREEMPTION_PENALTY_S + 0.01 * self.lost_s(i, &victims),
-            };
-            // Among equals the fullest: others can then empty and be returned.
             let packing = 0.1 * self.free_share(i);
-            let cost = self.delay_s(job, self.machines[i]) + lost + packing;
+            let cost = least + 0.01 * self.lost_s(i, &victims) + packing;
             if best.as_ref().is_none_or(|b| cost < b.0) {
                 best = Some((cost, i, victims));
             }
@@ -199,7 +229,7 @@
         };
         for key in victims {
             let name = self.machines[i].name.clone();
-            self.rooms[i].add(&self.machines[i].places[&key].need);
+            self.rooms[i].add(&self.machines[i].places[&key].load.need);
             self.victims.insert(key.clone());
             self.plans.stops.push((name, key));
         }
@@ -231,22 +261,18 @@
         let mut lesser: Vec<(&PlaceKey, &Place)> = self.machines[i]
             .live()
             .filter(|(key, p)| {
-                let other = self.core.jobs.get(&key.0);
                 // What saves before it stops, or is not surely there, does not free its room now.
                 let quick = matches!(p.stage, Stage::Seen(_)) && p.stop.is_none();
                 quick
+                    && p.load.yields
+                    && outranks(job.spec.priority, p.load.priority)
                     && !self.victims.contains(*key)
-                    && other.is_some_and(|o| {
-                        o.spec.kind == Kind::Array
-                            && o.spec.checkpoint_s <= 0.0
-                            && outranks(job.spec.priority, o.spec.priority)
-                    })
             })
             .collect();
         // The youngest first: they lose the least.
         lesser.sort_by(|a, b| b.1.since.total_cmp(&a.1.since));
         for (key, place) in lesser {
-            room.add(&place.need);
+            room.add(&place.load.need);
             victims.push(key.clone());
             if room.fits(need) {
                 return Some(victims);
@@ -255,76 +281,87 @@
         None
     }
 
-    /// Sets room aside for the replicas that are expected before a machine could be rented.
+    /// Sets room aside for the replicas that are expected before a machine could be rented: where
+    /// their image is, and on the fullest machines.
     pub fn keep_warm(&mut self) {
         for (need, count, image) in self.core.fleet.expected(self.core, self.now) {
-            for _ in 0..count {
-                let free = (0..self.machines.len())
-                    .filter(|i| self.open[*i] && !self.machines[*i].spot)
-                    .filter(|i| self.room(*i).fits(&need))
-                    .min_by(|a, b| {
-                        let key = |i: usize| {
-                            let cold = !self.machines[i].images.contains_key(&image);
-                            (cold, self.free_share(i))
-                        };
-                        let (a, b) = (key(*a), key(*b));
-                        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-                    });
-                match free {
-                    Some(i) => self.warm[i].add(&need),
-                    None => break,
+            let mut free: Vec<(bool, f64, usize)> = (0..self.machines.len())
+                .filter(|i| self.open[*i] && !self.machines[*i].spot)
+                .filter(|i| self.room(*i).fits(&need))
+                .map(|i| {
+                    let cold = !self.machines[i].images.contains_key(&image);
+                    (cold, self.free_share(i), i)
+                })
+                .collect();
+            free.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let mut left = count;
+            for (_, _, i) in free {
+                while left > 0 && self.room(i).fits(&need) {
+                    self.warm[i].add(&need);
+                    left -= 1;
                 }
             }
         }
     }
 
-    /// A task of an array goes where its image is, else in the order in which machines fill.
-    pub fn place_task(
+    /// Places as many tasks of an array as can be. They go where their image is, else in the order
+    /// in which machines fill.
+    pub fn place_tasks(
         &mut self,
         job: &Job,
-        task: u32,
         mut head: Option<&mut Reservation>,
         guaranteed: bool,
     ) -> Result<(), Blocked> {
-        if !self.within_limit(job, 1) {
-            return Err(Blocked::Rule);
-        }
         let need = job.need();
         let mut zone_blocked = false;
-        let mut best: Option<(f64, usize)> = None;
+        let mut found: Vec<(f64, usize)> = Vec::new();
+        // The smallest tasks that found no room show what larger ones need not try.
+        if self.full_for.iter().any(|f| f.covers(job, &need)) {
+            return Err(Blocked::Room);
+        }
         let candidates: Vec<usize> = self.allowed(job).collect();
+        self.core.look(candidates.len());
         for i in candidates {
             if !self.room(i).fits(&need) {
                 continue;
             }
-            if !self.zone_allowed(job, &self.machines[i].zone) {
-                zone_blocked = true;
-                continue;
-            }
-            let m = self.machines[i];
-            let fetch_s = self.fetch_s(job, m);
-            let end = self.now + fetch_s + job.predicted_s;
-            let delays = head.as_ref().is_some_and(|h| !h.allows(i, &need, end));
-            if delays && !guaranteed {
-                continue;
-            }
-            let cost = self.delay_s(job, m) + self.rank[i];
-            if best.is_none_or(|b| cost < b.0) {
-                best = Some((cost, i));
-            }
+            let cost = self.delay_s(job, self.machines[i]) + self.rank[i];
+            found.push((cost, i));
         }
-        let Some((_, i)) = best else {
-            return Err(match zone_blocked {
-                true => Blocked::Rule,
-                false => Blocked::Room,
+        if found.is_empty() && job.spec.types.is_none() && job.spec.zone.is_none() {
+            self.full_for.push(Full {
+                need,
+                spot: job.spec.spot,
             });
-        };
-        if let Some(head) = head.as_mut() {
+        }
+        found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut tasks = job.unplaced().peekable();
+        for (_, i) in found {
             let end = self.now + self.fetch_s(job, self.machines[i]) + job.predicted_s;
-            head.admit(i, &need, end);
+            while tasks.peek().is_some() && self.room(i).fits(&need) {
+                if !self.within_limit(job, 1) {
+                    return Err(Blocked::Rule);
+                }
+                if !self.zone_allowed(job, &self.machines[i].zone) {
+                    zone_blocked = true;
+                    break;
+                }
+                let delays = head.as_ref().is_some_and(|h| !h.allows(i, &need, end));
+                if delays && !guaranteed {
+                    break;
+                }
+                if let Some(head) = head.as_mut() {
+                    head.admit(i, &need, end);
+                }
+                let task = tasks.next().expect("peeked");
+                self.plan(job, task, i, false);
+            }
+        }
+        match tasks.peek() {
+            None => Ok(()),
+            Some(_) if zone_blocked || !self.within_limit(job, 1) => Err(Blocked::Rule),
+            Some(_) => Err(Blocked::Room),
         }
-        self.plan(job, task, i, false);
-        Ok(())
     }
 
     /// All tasks of a gang, or none.
@@ -424,11 +461,7 @@
             return Room::default();
         };
         let mut room = Room::of_type(kind);
-        for (_, place) in m.live() {
-            if !place.leaves_at_once() {
-                room.take(&place.need);
-            }
-        }
+        room.take(&m.used());
         room
     }
 }
--- /dev/null
+++ b/src/coordination/places.rs
@@ -0,0 +1,300 @@
+//! Places of tasks on machines, and the proofs by which they are cleared.
+//!
+//! Every change to a place goes through [`Core::add_place`] and [`Core::clear_place`]; a place is
+//! cleared only on proof that its task is gone and that no launch of it may still arrive: a newer
+//! report ([`Core::tasks_not_shown`]), a new session, a lease that is over by our clock, or the
+//! cloud's word.
+
+use super::core::*;
+use super::state::*;
+use super::Time;
+use crate::protocol::job::Kind;
+use crate::protocol::worker::Report;
+use std::collections::{BTreeMap, BTreeSet};
+use tracing::{debug, warn};
+
+impl Core {
+    /// Puts a task on a machine. The launch leaves once the record is written.
+    pub(super) fn add_place(
+        &mut self,
+        id: &Name,
+        task: u32,
+        machine: &Name,
+        attempt: u64,
+        stage: Stage,
+        now: Time,
+    ) {
+        let (Some(job), Some(m)) = (self.jobs.get_mut(id), self.machines.get_mut(machine)) else {
+            return;
+        };
+        let load = job.load();
+        let Some(slot) = job.tasks.get_mut(task as usize) else {
+            return;
+        };
+        let need = load.need;
+        let place = Place {
+            stage,
+            since: now,
+            running_since: None,
+            recovered: false,
+            orders_token: None,
+            reply_seq: None,
+            stop: None,
+            load,
+        };
+        if m.places
+            .insert((id.clone(), task, attempt), place)
+            .is_some()
+        {
+            return;
+        }
+        m.places_changed();
+        slot.at.push((machine.clone(), attempt));
+        job.live += 1;
+        let usage = self.team_use.entry(job.spec.team.clone()).or_default();
+        usage.0 += need.cpus;
+        usage.1 += need.gpus;
+        self.touch(id, task, stage == Stage::Planned, now);
+    }
+
+    /// A task's record is out of date; `urgent`: a launch waits for it.
+    pub(super) fn touch(&mut self, id: &Name, task: u32, urgent: bool, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let i = task as usize / self.tasks_a_chunk;
+        let chunk = &mut job.chunks[i];
+        if chunk.dirty.is_none() {
+            chunk.dirty = Some(now);
+            self.lagging.push_back((now, id.clone(), i));
+        }
+        if urgent && !chunk.urgent {
+            chunk.urgent = true;
+            let turn = (std::cmp::Reverse(job.spec.priority), job.seq);
+            self.urgent.insert((turn, id.clone(), i));
+        }
+    }
+
+    /// The task is surely not on the machine any more (or, `done`, has completed): it counts no
+    /// longer, and may be placed anew.
+    pub(super) fn clear_place(&mut self, key: &PlaceKey, machine: &Name, ran: bool, now: Time) {
+        let (id, task, attempt) = key;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(slot) = job.tasks.get_mut(*task as usize) else {
+            return;
+        };
+        let before = slot.at.len();
+        slot.at.retain(|(m, a)| !(m == machine && a == attempt));
+        if slot.at.len() == before {
+            return;
+        }
+        job.live -= 1;
+        job.running -= u32::from(ran);
+        job.first_open = job.first_open.min(*task as usize);
+        if let Some(usage) = self.team_use.get_mut(&job.spec.team) {
+            usage.0 -= job.spec.cpus;
+            usage.1 -= job.spec.gpus;
+        }
+        if job.is_over() {
+            self.over.insert(id.clone());
+        }
+        self.stirred = true;
+        self.touch(id, *task, false, now);
+    }
+
+    pub(super) fn stop(&mut self, machine: &Name, key: &PlaceKey, grace_s: f64, now: Time) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let Some(place) = m.places.get_mut(key) else {
+            return;
+        };
+        match place.stage {
+            Stage::Exited(_) => {}
+            Stage::Planned => {
+                // The launch has not left, and never will.
+                m.places.remove(key);
+                m.places_changed();
+                self.clear_place(key, machine, false, now);
+            }
+            Stage::Started | Stage::Seen(_) => {
+                if place.stop.is_none_or(|s| grace_s < s.grace_s) {
+                    place.stop = Some(Stop {
+                        grace_s,
+                        sent: false,
+                    });
+                    m.places_changed();
+                    self.to_order.insert(machine.clone());
+                }
+            }
+        }
+    }
+
+    /// The machine and all on it are gone, by the cloud's word.
+    pub(super) fn machine_gone(&mut self, name: &Name, now: Time) {
+        let Some(m) = self.machines.remove(name) else {
+            return;
+        };
+        for (key, place) in &m.places {
+            if place.is_live() {
+                self.clear_place(key, name, place.running_since.is_some(), now);
+                self.replica_lost(&key.0, now);
+            }
+        }
+        self.gone.insert(name.clone(), now);
+    }
+
+    pub(super) fn replica_lost(&mut self, id: &Name, now: Time) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.spec.kind == Kind::Gang && !job.cancelled {
+            // The rest of a gang is of no use without this task.
+            let rest: Vec<_> = Self::live_places(job).collect();
+            for (t, machine, attempt) in rest {
+                self.stop(&machine, &(id.clone(), t, attempt), 0.0, now);
+            }
+        }
+    }
+
+    /// Forgets what was on a machine whose worker has begun a new session.
+    pub(super) fn clear_session(&mut self, name: &Name, now: Time) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let places = std::mem::take(&mut m.places);
+        let mut kept = BTreeMap::new();
+        let mut cleared = Vec::new();
+        for (key, place) in places {
+            // What has not been sent can still be sent to the new session.
+            if place.stage == Stage::Planned {
+                kept.insert(key, place);
+            } else if place.is_live() {
+                cleared.push((key, place.running_since.is_some()));
+            }
+        }
+        m.places = kept;
+        m.places_changed();
+        if !cleared.is_empty() {
+            warn!("{name}: new session, {} tasks lost", cleared.len());
+        }
+        for (key, ran) in cleared {
+            self.clear_place(&key, name, ran, now);
+            self.replica_lost(&key.0, now);
+        }
+    }
+
+    pub(super) fn tasks_not_shown(
+        &mut self,
+        name: &Name,
+        shown: &BTreeSet<PlaceKey>,
+        r: &Report,
+        now: Time,
+    ) {
+        let first_token = self.first_token;
+        let jobs = &self.jobs;
+        let m = self.machines.get_mut(name).expect("known machine");
+        // An answer brought a launch, and a report after it shows nothing of that.
+        let unheeded = m.places.iter().any(|(key, p)| {
+            let answered = p.reply_seq.is_some_and(|s| s < r.seq);
+            p.stage == Stage::Started && p.stop.is_none() && answered && !shown.contains(key)
+        });
+        if unheeded {
+            m.heeds(false, now);
+        }
+        let mut lost = Vec::new();
+        m.places.retain(|key, place| {
+            if shown.contains(key) {
+                return true;
+            }
+            let over = place.launches_are_over(r.token, r.seq);
+            let gone = match place.stage {
+                Stage::Planned => false,
+                // The worker forgot it as it was told.
+                Stage::Exited(_) => return !over,
+                // Launched by an earlier leader: nothing of it arrives once the worker has seen
+                // our token.
+                Stage::Started if place.recovered => r.token >= first_token,
+                Stage::Started => {
+                    let unwanted =
+                        place.stop.is_some() || jobs.get(&key.0).is_none_or(|j| j.cancelled);
+                    unwanted && over
+                }
+                Stage::Seen(_) => over && r.token >= first_token,
+            };
+            if gone {
+                lost.push((key.clone(), place.running_since.is_some()));
+            }
+            !gone
+        });
+        m.places_changed();
+        for (key, ran) in lost {
+            debug!("{}/{}: is not on {name}", key.0, key.1);
+            self.clear_place(&key, name, ran, now);
+            self.replica_lost(&key.0, now);
+        }
+    }
+
+    /// When a worker's lease was last renewed at the latest; `None` where an earlier leader may
+    /// still renew it. A worker that has seen our token is renewed by us alone, and so is every
+    /// worker once the other controllers have promised as much. A session that was heard of may
+    /// have begun just then, and what is sent to it runs in no later one.
+    pub(super) fn renewed_by(&self, m: &Machine) -> Option<Time> {
+        let known = m.answered.max(m.heard.unwrap_or(m.answered));
+        match m.token >= self.first_token {
+            true => Some(known.max(self.leads_since)),
+            false => self.promised.map(|t| t.max(known)),
+        }
+    }
+
+    /// When a worker's lease is over by our clock, it has killed and forgotten every task.
+    pub(super) fn expire_sessions(&mut self, now: Time) {
+        let lease_s = self.settings.cluster.workers.lease_s;
+        let over: Vec<Name> = self
+            .machines
+            .values()
+            .filter(|m| m.phase != Phase::Booting)
+            .filter(|m| {
+                let renewed = self.renewed_by(m);
+                renewed.is_some_and(|t| now - t > lease_s * DRIFT + WORKER_RETRY_S)
+            })
+            .filter(|m| m.places.values().any(|p| p.stage != Stage::Planned))
+            .map(|m| m.name.clone())
+            .collect();
+        for name in over {
+            warn!("{name}: silent for longer than its lease");
+            self.clear_session(&name, now);
+            if let Some(m) = self.machines.get_mut(&name) {
+                // Whatever it says of that session is of the past. Nothing is sent to the next one
+                // before it is heard of: when it begins, and so when it ends, is not known.
+                m.session += 1;
+                m.seq = 0;
+                m.heard = None;
+            }
+        }
+    }
+
+    /// Loads a place that an earlier leader recorded.
+    pub(super) fn recover_place(
+        &mut self,
+        id: &Name,
+        task: u32,
+        machine: &Name,
+        attempt: u64,
+        now: Time,
+    ) {
+        // The record names the machine only: its own report or the cloud's list tells the rest.
+        self.machines.entry(machine.clone()).or_insert_with(|| {
+            let mut m = Machine::new(machine.clone(), "".into(), "".into(), false, now);
+            m.phase = Phase::Up;
+            m
+        });
+        self.add_place(id, task, machine, attempt, Stage::Started, now);
+        let m = self.machines.get_mut(machine);
+        if let Some(p) = m.and_then(|m| m.places.get_mut(&(id.clone(), task, attempt))) {
+            p.recovered = true;
+        }
+    }
+}
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -3,7 +3,6 @@
 use super::backfill::{reserve, Frees, Reservation};
 use super::core::Core;
 use super::placement::Pass;
-use super::predict::corrected;
 use super::state::*;
 use super::Time;
 use crate::protocol::job::{Kind, Priority};
@@ -26,6 +25,7 @@
             return;
         }
         let mut pass = Pass::new(self, now);
+        self.look(self.machines.len());
         let mut services: Vec<&Job> = Vec::new();
         let mut queue: Vec<&Job> = Vec::new();
         for job in self.jobs.values().filter(|j| waits(j, now)) {
@@ -110,7 +110,7 @@
         &self,
         pass: &mut Pass,
         job: &Job,
-        mut head: Option<&mut Reservation>,
+        head: Option<&mut Reservation>,
         guaranteed: bool,
     ) -> Result<(), Blocked> {
         if job.spec.kind == Kind::Gang {
@@ -119,19 +119,17 @@
                 _ => Ok(()),
             };
         }
-        for task in job.unplaced() {
-            pass.place_task(job, task, head.as_deref_mut(), guaranteed)?;
-        }
-        Ok(())
+        pass.place_tasks(job, head, guaranteed)
     }
 
     /// Where the head starts, by the predicted ends of what runs.
     fn reservation(&self, pass: &Pass, job: &Job) -> Option<Reservation> {
         let machines = pass.allowed(job).map(|i| {
             let m = pass.machine(i);
+            self.look(m.places.len());
             let ends = m
                 .live()
-                .map(|(key, p)| (self.predicted_end(key, p, pass.now), p.need));
+                .map(|(_, p)| (p.predicted_end(pass.now), p.load.need));
             Frees {
                 machine: i,
                 room: pass.room(i),
@@ -150,17 +148,6 @@
         found
     }
 
-    /// When a place is predicted to come free; never, for a service.
-    pub(super) fn predicted_end(&self, key: &PlaceKey, place: &Place, now: Time) -> Time {
-        let Some(job) = self.jobs.get(&key.0).filter(|j| !j.is_service()) else {
-            return f64::INFINITY;
-        };
-        let start = place.running_since.unwrap_or(now);
-        let elapsed = now - start;
-        let total = corrected(job.predicted_s, elapsed, job.spec.estimate_s);
-        (start + total).max(now)
-    }
-
     /// Which jobs fit into their team's guarantee along with its earlier unfinished ones.
     pub(super) fn within_guarantee(&self) -> HashMap<Name, bool> {
         let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
@@ -187,7 +174,7 @@
         let up = self
             .machines
             .values()
-            .filter(|m| m.takes_tasks(now, silence_s))
+            .filter(|m| m.takes_tasks(now, silence_s, self.first_token))
             .count();
         let waiting: u32 = self
             .jobs
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -13,28 +13,12 @@
 pub struct Records {
     pub open: Vec<Item>,
     pub run: Vec<Item>,
-    pub machines: Vec<Item>,
 }
 
 impl Core {
-    /// Loads what earlier leaders recorded, and contacts the machines that they used: once a
-    /// worker has seen our token, no older command reaches it, and its report is the truth.
+    /// Loads what earlier leaders recorded. Once a worker has seen our token, no older command
+    /// reaches it, and its report is the truth.
     pub fn recover(&mut self, records: Records, wall_ms: u64, now: Time) {
-        for item in records.machines {
-            let Some(record) = Self::decode::<MachineRecord>(&item.key, item.value) else {
-                continue;
-            };
-            let Some(name) = item.key.strip_prefix(MACHINE) else {
-                continue;
-            };
-            let name: Name = name.into();
-            let (kind, zone) = (record.kind.as_str().into(), record.zone.as_str().into());
-            let mut m = Machine::new(name.clone(), kind, zone, record.spot, now);
-            m.endpoint = Some(record.endpoint);
-            m.phase = Phase::Up;
-            m.recorded = true;
-            self.machines.insert(name, m);
-        }
         let mut open: BTreeMap<u64, OpenRecord> = BTreeMap::new();
         for item in records.open {
             if let Some(record) = Self::decode::<OpenRecord>(&item.key, item.value) {
@@ -60,15 +44,11 @@
             self.recover_chunk(&id, chunk, record, item.version, now);
         }
         info!(
-            "leads with token {}: {} open jobs, {} recorded machines",
+            "leads with token {}: {} open jobs, places on {} machines",
             self.token,
             self.jobs.len(),
             self.machines.len()
         );
-        let names: Vec<Name> = self.machines.keys().cloned().collect();
-        for name in names {
-            self.order(&name, Vec::new());
-        }
     }
 
     /// A job that was accepted at some time of day.
--- /dev/null
+++ b/src/coordination/reports.rs
@@ -0,0 +1,235 @@
+//! What workers report, and how they are answered.
+
+use super::core::*;
+use super::state::*;
+use super::Time;
+use crate::protocol::job::{parse_task, Kind};
+use crate::protocol::worker::{Cause, Command, Report, ReportAnswer, TaskReport, TaskState};
+use std::collections::BTreeSet;
+use tracing::{debug, info, warn};
+
+impl Core {
+    pub(super) fn is_newer(&self, r: &Report) -> bool {
+        self.machines
+            .get(r.machine.as_str())
+            .is_none_or(|m| (r.session, r.seq) > (m.session, m.seq))
+    }
+
+    /// What completed stays completed, however old the report that says so.
+    fn completed_by(&mut self, r: &Report, now: Time) {
+        for t in r.tasks.iter().filter(|t| t.cause == Some(Cause::Done)) {
+            let Some((job, task)) = parse_task(&t.task) else {
+                continue;
+            };
+            let id: Name = job.into();
+            let slot = self.jobs.get(&id).and_then(|j| j.tasks.get(task as usize));
+            if slot.is_some_and(|s| !s.done) {
+                self.task_done(&id, task, now);
+            }
+        }
+    }
+
+    /// Takes in a report of any origin, if it is newer than all before it. A late copy proves
+    /// nothing but what has completed.
+    pub fn absorb(&mut self, r: &Report, now: Time) -> bool {
+        let name: Name = r.machine.as_str().into();
+        let lease_s = self.settings.cluster.workers.lease_s;
+        if !self.is_newer(r) || self.gone.contains_key(&name) {
+            self.completed_by(r, now);
+            return false;
+        }
+        if !self.machines.contains_key(&name) {
+            info!("{name}: reports, and was not expected; adopted");
+            let kind = r.kind.as_str().into();
+            let m = Machine::new(name.clone(), kind, r.zone.as_str().into(), r.spot, now);
+            self.machines.insert(name.clone(), m);
+        }
+        let m = self.machines.get_mut(&name).expect("inserted above");
+        let new_session = m.session != 0 && r.session > m.session;
+        m.describe(&r.kind, &r.zone, r.spot);
+        // Its lease ran out though its reports were answered: the answers do not reach it.
+        if new_session && m.told > 0 && now - m.answered < lease_s {
+            m.unheeded = UNHEEDED;
+            m.heeds(false, now);
+        }
+        if new_session {
+            m.told = 0;
+        } else if m.told > m.token {
+            m.heeds(r.token >= m.told, now);
+        }
+        if m.phase == Phase::Booting {
+            m.phase = Phase::Up;
+            m.idle_since = now;
+            self.stirred = true;
+            info!(
+                "{name}: up, {} in {} after {:.0} s",
+                m.kind,
+                m.zone,
+                now - m.rented
+            );
+        }
+        m.session = r.session;
+        m.seq = r.seq;
+        m.token = m.token.max(r.token);
+        m.heard = Some(now);
+        m.no_orders_until = 0.0;
+        if m.endpoint.as_deref() != Some(r.endpoint.as_str()) {
+            m.endpoint = Some(r.endpoint.clone());
+        }
+        m.taken_at = r.notice_s.map(|s| now + s);
+        if new_session {
+            self.clear_session(&name, now);
+        }
+        let mut shown = BTreeSet::new();
+        for t in &r.tasks {
+            if let Some((job, task)) = parse_task(&t.task) {
+                let key: PlaceKey = (job.into(), task, t.attempt);
+                self.task_shown(&name, &key, t, now);
+                shown.insert(key);
+            }
+        }
+        self.tasks_not_shown(&name, &shown, r, now);
+        let m = self.machines.get_mut(&name).expect("still there");
+        if !m.is_empty() {
+            m.idle_since = now;
+        }
+        if r.notice_s.is_some() {
+            self.drain(&name, now);
+        }
+        true
+    }
+
+    pub(super) fn task_shown(&mut self, name: &Name, key: &PlaceKey, t: &TaskReport, now: Time) {
+        let Some(job) = self.jobs.get(&key.0) else {
+            return;
+        };
+        if key.1 as usize >= job.tasks.len() {
+            return;
+        }
+        let (spec, cancelled) = (job.spec.clone(), job.cancelled);
+        let m = self.machines.get_mut(name).expect("known machine");
+        if !m.places.contains_key(key) {
+            if t.state == TaskState::Exited && t.cause != Some(Cause::Done) {
+                // Nothing is known of it and it is over: it is forgotten with the next answer.
+                return;
+            }
+            let taken = job.tasks[key.1 as usize].done || !job.tasks[key.1 as usize].at.is_empty();
+            warn!("{name}: shows {}/{} that was not expected", key.0, key.1);
+            self.add_place(&key.0, key.1, name, key.2, Stage::Started, now);
+            if (taken || cancelled) && t.state != TaskState::Exited {
+                let m = self.machines.get_mut(name).expect("known machine");
+                let place = m.places.get_mut(key).expect("just added");
+                place.stage = Stage::Seen(t.state);
+                m.places_changed();
+                self.stop(name, key, 0.0, now);
+            }
+        }
+        let m = self.machines.get_mut(name).expect("known machine");
+        let place = m.places.get_mut(key).expect("present");
+        if !place.is_live() {
+            return;
+        }
+        if t.state != TaskState::Exited {
+            let was = place.stage;
+            let launched = was == Stage::Started && place.reply_seq.is_some();
+            place.stage = Stage::Seen(t.state);
+            place.recovered = false;
+            if t.state == TaskState::Running && place.running_since.is_none() {
+                place.running_since = Some(now);
+                debug!("{}/{}: runs on {name}", key.0, key.1);
+                if let Some(job) = self.jobs.get_mut(&key.0) {
+                    job.running += 1;
+                    job.first_run.get_or_insert(now);
+                }
+            }
+            if t.state != TaskState::Fetching {
+                m.images.insert(spec.image.clone(), now);
+            }
+            if was == Stage::Started && cancelled && place.stop.is_none() {
+                place.stop = Some(Stop {
+                    grace_s: 0.0,
+                    sent: false,
+                });
+                self.to_order.insert(name.clone());
+            }
+            m.places_changed();
+            if launched {
+                m.heeds(true, now);
+            }
+            return;
+        }
+        let cause = t.cause.unwrap_or(Cause::Error);
+        place.stage = Stage::Exited(cause);
+        let ran = place.running_since.map(|s| now - s);
+        let (learnable, since) = (place.stop.is_none(), place.since);
+        debug!("{}/{}: exited on {name}: {cause:?}", key.0, key.1);
+        m.idle_since = now;
+        m.places_changed();
+        self.clear_place(key, name, ran.is_some(), now);
+        match cause {
+            Cause::Done => {
+                self.task_done(&key.0, key.1, now);
+                self.succeeded_on(name, &spec.image, now);
+                if let (Some(ran), true, false) = (ran, learnable, spec.kind == Kind::Service) {
+                    let owner = format!("{}/{}", spec.team, spec.class);
+                    self.predictor
+                        .learn(&owner, spec.estimate_s, spec.cpus, ran);
+                }
+            }
+            Cause::Error => self.failed_on(&key.0, name, since, now),
+            Cause::NoRoom | Cause::Busy | Cause::Unknown => {
+                warn!("{name}: refused {}/{}: {cause:?}", key.0, key.1);
+                self.refused_on(&key.0, now);
+            }
+            Cause::Stopped | Cause::Peers | Cause::Alone => self.replica_lost(&key.0, now),
+        }
+    }
+
+    /// Takes in a worker's own report and answers it.
+    pub fn report(&mut self, r: &Report, now: Time) -> Heard {
+        if r.token > self.token {
+            warn!(
+                "{}: has seen token {}, ours is {}",
+                r.machine, r.token, self.token
+            );
+            self.deposed = true;
+            return Heard::Deposed;
+        }
+        if !self.absorb(r, now) {
+            return Heard::Stale;
+        }
+        let name: Name = r.machine.as_str().into();
+        let mut commands = Vec::new();
+        if let Some(m) = self.machines.get_mut(&name) {
+            m.answered = now;
+            m.told = m.told.max(self.token);
+            // Tasks that no open job accounts for are stopped, then forgotten.
+            for t in &r.tasks {
+                let key = parse_task(&t.task).map(|(j, n)| (Name::from(j), n, t.attempt));
+                if key.as_ref().is_some_and(|k| m.places.contains_key(k)) {
+                    continue;
+                }
+                let (task, attempt) = (t.task.clone(), t.attempt);
+                if t.state == TaskState::Exited {
+                    // Only an attempt of an earlier token can be forgotten safely: a late copy of
+                    // its launch would start it anew.
+                    if (attempt >> 20) < self.first_token || r.token > self.first_token {
+                        commands.push(Command::Forget { task, attempt });
+                    }
+                } else {
+                    commands.push(Command::Stop {
+                        task,
+                        attempt,
+                        grace_s: 0.0,
+                    });
+                }
+            }
+        }
+        commands.extend(self.commands(&name, Some(r.seq), now));
+        commands.truncate(MOST_COMMANDS);
+        Heard::Answer(ReportAnswer {
+            token: self.token,
+            commands,
+        })
+    }
+}
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -1,9 +1,11 @@
 //! Jobs, machines, and the places that tasks have or may have on machines.
 
+use super::predict::corrected;
 use super::Time;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::{JobSpec, Kind};
+use crate::protocol::job::{JobSpec, Kind, Priority};
 use crate::protocol::worker::{Cause, TaskState};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -93,8 +95,9 @@
     pub arrived: Time,
     pub tasks: Vec<Task>,
     pub done: u32,
-    /// Places that are or may be live.
+    /// Places that are or may be live, and those that are known to run.
     pub live: u32,
+    pub running: u32,
     pub chunks: Vec<Chunk>,
     /// Its user has cancelled it; its places are being cleared.
     pub cancelled: bool,
@@ -111,10 +114,58 @@
 }
 
 impl Job {
+    /// A job without places, as it arrives.
+    pub fn new(
+        spec: Arc<JobSpec>,
+        seq: u64,
+        arrived: Time,
+        chunks: usize,
+        predicted_s: f64,
+    ) -> Job {
+        Job {
+            id: spec.id.as_str().into(),
+            seq,
+            arrived,
+            tasks: vec![Task::default(); spec.tasks as usize],
+            done: 0,
+            live: 0,
+            running: 0,
+            chunks: vec![Chunk::default(); chunks],
+            cancelled: false,
+            end_in_flight: false,
+            predicted_s,
+            failed_on: BTreeMap::new(),
+            retry_at: 0.0,
+            setbacks: 0,
+            first_open: 0,
+            first_run: None,
+            spec,
+        }
+    }
+
     pub fn need(&self) -> Room {
         Room::of(&self.spec)
     }
 
+    /// What a place of one of its tasks needs to know of it.
+    pub fn load(&self) -> Load {
+        Load {
+            need: self.need(),
+            priority: self.spec.priority,
+            run_s: (!self.is_service()).then_some((self.predicted_s, self.spec.estimate_s)),
+            yields: self.spec.kind == Kind::Array && self.spec.checkpoint_s <= 0.0,
+        }
+    }
+
+    /// Whether nothing is left of it but the record of its end.
+    pub fn is_over(&self) -> bool {
+        let done = !self.is_service() && self.done as usize == self.tasks.len();
+        match self.cancelled {
+            true => self.live == 0,
+            false => done,
+        }
+    }
+
     pub fn is_service(&self) -> bool {
         self.spec.kind == Kind::Service
     }
@@ -156,6 +207,17 @@
     pub sent: bool,
 }
 
+/// What a pass over machines asks of a place, so that it need not look for the job.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub need: Room,
+    pub priority: Priority,
+    /// The predicted and the estimated run time; none for a service, whose room never frees.
+    pub run_s: Option<(f64, f64)>,
+    /// Whether it may be stopped for work that outranks it, and frees its room at once.
+    pub yields: bool,
+}
+
 #[derive(Clone, Debug)]
 pub struct Place {
     pub stage: Stage,
@@ -169,7 +231,7 @@
     /// The report whose answer last carried the launch.
     pub reply_seq: Option<u64>,
     pub stop: Option<Stop>,
-    pub need: Room,
+    pub load: Load,
 }
 
 impl Place {
@@ -182,6 +244,15 @@
         self.orders_token.is_none_or(|t| token > t) && self.reply_seq.is_none_or(|s| seq > s)
     }
 
+    /// When it is predicted to come free; never, for a service.
+    pub fn predicted_end(&self, now: Time) -> Time {
+        let Some((predicted_s, estimate_s)) = self.load.run_s else {
+            return f64::INFINITY;
+        };
+        let start = self.running_since.unwrap_or(now);
+        (start + corrected(predicted_s, now - start, estimate_s)).max(now)
+    }
+
     /// Whether its room is free as soon as a command sent now is carried out.
     pub fn leaves_at_once(&self) -> bool {
         self.stop.is_some_and(|s| s.grace_s <= 0.0) && matches!(self.stage, Stage::Seen(_))
@@ -196,6 +267,9 @@
     Returning,
 }
 
+/// Answers in a row without effect after which a worker counts as out of reach.
+pub const UNHEEDED: u32 = 2;
+
 pub struct Machine {
     pub name: Name,
     pub endpoint: Option<String>,
@@ -204,7 +278,8 @@
     pub spot: bool,
     pub phase: Phase,
     pub rented: Time,
-    pub recorded: bool,
+    /// Rented by this leader: no earlier one can have spoken to its worker.
+    pub ours: bool,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
@@ -214,7 +289,15 @@
     /// When the cloud takes it away.
     pub taken_at: Option<Time>,
     pub places: BTreeMap<PlaceKey, Place>,
+    /// What its places take, until one changes.
+    used: Cell<Option<Room>>,
     pub images: BTreeMap<String, Time>,
+    /// The highest token that was sent to it in this session.
+    pub told: u64,
+    /// Answers in a row that later reports show to have changed nothing, and since when it counts
+    /// as out of reach by that.
+    pub unheeded: u32,
+    pub deaf_since: Option<Time>,
     pub order_in_flight: bool,
     pub no_orders_until: Time,
     pub idle_since: Time,
@@ -237,7 +320,7 @@
             spot,
             phase: Phase::Booting,
             rented: now,
-            recorded: false,
+            ours: false,
             session: 0,
             seq: 0,
             token: 0,
@@ -245,7 +328,11 @@
             answered: now,
             taken_at: None,
             places: BTreeMap::new(),
+            used: Cell::new(None),
             images: BTreeMap::new(),
+            told: 0,
+            unheeded: 0,
+            deaf_since: None,
             order_in_flight: false,
             no_orders_until: 0.0,
             idle_since: now,
@@ -257,6 +344,44 @@
         }
     }
 
+    /// Takes in what it is, where a record has told no more than its name.
+    pub fn describe(&mut self, kind: &str, zone: &str, spot: bool) {
+        if self.kind.is_empty() {
+            (self.kind, self.zone, self.spot) = (kind.into(), zone.into(), spot);
+        }
+    }
+
+    /// Takes in whether the worker has done what it was told last.
+    pub fn heeds(&mut self, heeded: bool, now: Time) {
+        if heeded {
+            self.unheeded = 0;
+            self.deaf_since = None;
+            return;
+        }
+        self.unheeded += 1;
+        if self.unheeded >= UNHEEDED {
+            self.deaf_since.get_or_insert(now);
+        }
+    }
+
+    /// What is or may be on it takes, but for what a stop in the same message ends at once.
+    pub fn used(&self) -> Room {
+        if let Some(used) = self.used.get() {
+            return used;
+        }
+        let mut used = Room::default();
+        for (_, place) in self.live().filter(|(_, p)| !p.leaves_at_once()) {
+            used.add(&place.load.need);
+        }
+        self.used.set(Some(used));
+        used
+    }
+
+    /// To be called whenever a place has changed.
+    pub fn places_changed(&self) {
+        self.used.set(None);
+    }
+
     pub fn live(&self) -> impl Iterator<Item = (&PlaceKey, &Place)> {
         self.places.iter().filter(|(_, p)| p.is_live())
     }
@@ -265,11 +390,15 @@
         self.live().next().is_none()
     }
 
-    /// Whether new tasks may be placed on it.
-    pub fn takes_tasks(&self, now: Time, silence_s: f64) -> bool {
+    /// Whether new tasks may be placed on it. A report alone is no sign that the worker hears us:
+    /// it may be a late copy, or the way to the worker may be cut. So it must have shown a token
+    /// of this leadership, unless nobody else can have spoken to it.
+    pub fn takes_tasks(&self, now: Time, silence_s: f64, first_token: u64) -> bool {
         self.phase == Phase::Up
             && !self.quarantined
             && !self.draining
+            && self.unheeded < UNHEEDED
+            && (self.token >= first_token || self.ours && self.session == 1)
             && self.taken_at.is_none()
             && self.endpoint.is_some()
             && self.heard.is_some_and(|t| now - t < silence_s)
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -4,14 +4,14 @@
 use super::gateway::Task;
 use super::workers::{CloudCall, Pool};
 use crate::bookkeeping::index::EndIndex;
-use crate::bookkeeping::records::{OpenRecord, MACHINE, OPEN, RUN};
+use crate::bookkeeping::records::{OpenRecord, OPEN, RUN};
 use crate::bookkeeping::store::{Store, Unavailable};
 use crate::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use crate::coordination::election::{News, Wish};
 use crate::coordination::recovery::Records;
 use crate::coordination::state::Name;
 use crate::coordination::Time;
-use crate::protocol::cloud::{ListedMachine, MachineType};
+use crate::protocol::cloud::{ListedMachine, MachineType, LIST_PAGE};
 use crate::protocol::job::{JobState, JobStatus};
 use crate::protocol::worker::{Elsewhere, Report, ReportAnswer};
 use crate::settings::Settings;
@@ -59,7 +59,6 @@
     /// Whether this node leads, and its picture is current.
     pub leads: bool,
     pub leader: Option<String>,
-    pub types: Arc<Vec<MachineType>>,
 }
 
 /// Hands a worker's report to the controller, or answers at once when it has no room.
@@ -94,6 +93,15 @@
     Leading(Box<Core>),
 }
 
+/// A worker that was sent to the leader.
+#[derive(Default)]
+struct Redirected {
+    times: u32,
+    /// The session and number of its newest report.
+    newest: (u64, u64),
+    at: Time,
+}
+
 /// What the controller speaks to.
 pub struct Links {
     pub store: Store,
@@ -113,9 +121,9 @@
     term: Arc<AtomicU64>,
     leader: Option<String>,
     ends: EndIndex,
-    types: Arc<Vec<MachineType>>,
+    types: Vec<MachineType>,
     /// Workers that were sent to the leader: how often of late, and when.
-    redirected: HashMap<String, (u32, Time)>,
+    redirected: HashMap<String, Redirected>,
     ticked: Time,
     listed: Time,
     /// When a worker last reported here, and whether peers are being asked because none does.
@@ -125,6 +133,12 @@
     promised: u64,
 }
 
+/// Report intervals after which the leader reads all open jobs anew.
+const REREAD: u32 = 8;
+/// A worker that comes to a follower so often has not got through to the leader.
+const REDIRECTS: u32 = 3;
+/// The share of the cloud's calls that lists of machines may take.
+const LIST_SHARE: f64 = 0.1;
 /// Messages taken in before the core decides again.
 const BATCH: usize = 64;
 /// Report intervals without a word from any worker, after which a leader doubts its network.
@@ -147,7 +161,7 @@
             term: Arc::default(),
             leader: None,
             ends: EndIndex::new((bytes / END_BYTES) as usize),
-            types: Arc::default(),
+            types: Vec::new(),
             redirected: HashMap::new(),
             ticked: 0.0,
             listed: 0.0,
@@ -184,20 +198,25 @@
         if tick {
             self.ticked = now;
             let keep = 8.0 * self.settings.cluster.workers.report_s;
-            self.redirected.retain(|_, (_, at)| now - *at < keep);
+            self.redirected.retain(|_, r| now - r.at < keep);
         }
         let Role::Leading(core) = &mut self.role else {
             return;
         };
         if tick {
             core.tick(now);
-            let lag = (self.settings.cluster.cloud.list_lag_s / 2.0).max(1.0);
-            if now - self.listed >= lag {
+            if now - self.listed >= list_pause_s(&self.settings, core.machine_count()) {
                 self.listed = now;
                 self.links.pool.cloud(CloudCall::List);
             }
         }
-        core.step(now);
+        let begun = Instant::now();
+        if core.step(now) {
+            core.pass_took(
+                begun.elapsed().as_secs_f64(),
+                self.epoch.elapsed().as_secs_f64(),
+            );
+        }
         let effects = core.take_effects();
         let deposed = core.deposed;
         // With machines, but no word from any, the fault may be this node's own network.
@@ -254,7 +273,7 @@
                 machine,
                 endpoint,
                 orders,
-            } => self.links.pool.order(machine, endpoint, orders),
+            } => self.links.pool.order(machine, &endpoint, &orders),
             Effect::Rent(rent) => self.links.pool.cloud(CloudCall::Rent(rent)),
             Effect::Return(names) => self.links.pool.cloud(CloudCall::Return(names)),
             Effect::RaiseToken => {
@@ -284,6 +303,9 @@
             Message::Locate(id, reply) => {
                 let _ = reply.try_send(self.locate(&id));
             }
+            // News of a job that is over already: it went through a watch that fell behind.
+            Message::Opened(record, _)
+                if self.ends.get(&record.spec.id).is_some() && !record.cancelled => {}
             Message::Opened(record, version) => {
                 let wall = wall_ms();
                 if let Some(core) = self.core() {
@@ -333,7 +355,7 @@
                 if let Some(core) = self.core() {
                     core.set_types(types.clone());
                 }
-                self.types = Arc::new(types);
+                self.types = types;
             }
         }
     }
@@ -394,7 +416,6 @@
                 let records = Records {
                     open,
                     run: store.list(RUN)?.0,
-                    machines: store.list(MACHINE)?.0,
                 };
                 Ok((records, revision))
             };
@@ -417,7 +438,18 @@
                     warn!("{key}: cannot be read");
                 }
             };
+            let mut read_at = Instant::now();
             while current() {
+                // An event may be lost on the way: from time to time all is read anew.
+                if read_at.elapsed() > hold * REREAD {
+                    if let Ok((items, revision)) = store.list(OPEN) {
+                        read_at = Instant::now();
+                        after = revision;
+                        for item in items {
+                            opened(&item.key, item.value, item.version);
+                        }
+                    }
+                }
                 match store.watch(OPEN, after, hold) {
                     Ok(Some(events)) => {
                         after = after.max(events.revision);
@@ -496,7 +528,7 @@
             } if t == token => {
                 let mut core = Core::new(self.settings.clone(), token, now);
                 core.valid_until = valid_until;
-                core.set_types(self.types.to_vec());
+                core.set_types(self.types.clone());
                 core.recover(records, wall_ms(), now);
                 self.role = Role::Leading(Box::new(core));
                 self.links.pool.cloud(CloudCall::List);
@@ -526,19 +558,20 @@
             status,
             leads,
             leader: self.leader.clone().filter(|l| *l != self.settings.name),
-            types: self.types.clone(),
         }
     }
 
     fn report(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
         let now = self.now();
-        self.heard = now;
         let workers = &self.settings.cluster.workers;
         let doubt_s = (workers.cancel_s - workers.lease_s).max(0.0) * DOUBT_SHARE;
         let reply = match &mut self.role {
             Role::Leading(core) if now < core.valid_until + doubt_s => {
                 match core.report(&report, now) {
-                    Heard::Answer(answer) => Reply::json(200, &answer),
+                    Heard::Answer(answer) => {
+                        self.heard = now;
+                        Reply::json(200, &answer)
+                    }
                     Heard::Stale => Reply::error(503, "an older report"),
                     Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
                 }
@@ -566,12 +599,18 @@
             return respond(Reply::json(421, &Elsewhere { leader: None }));
         };
         let recent = 4.0 * self.settings.cluster.workers.report_s;
-        let entry = self.redirected.entry(report.machine).or_insert((0, now));
-        if now - entry.1 > recent {
-            entry.0 = 0;
+        let order = (report.session, report.seq);
+        let entry = self.redirected.entry(report.machine).or_default();
+        if now - entry.at > recent {
+            entry.times = 0;
+        }
+        // A late copy of a report is no worker that comes back.
+        if entry.times == 0 || order > entry.newest {
+            entry.times += 1;
+            entry.newest = order;
         }
-        *entry = (entry.0 + 1, now);
-        if entry.0 < 3 {
+        entry.at = now;
+        if entry.times < REDIRECTS {
             return respond(Reply::json(
                 421,
                 &Elsewhere {
@@ -583,6 +622,13 @@
     }
 }
 
+/// How long to wait between two lists of all machines, which take a call for every page.
+fn list_pause_s(settings: &Settings, machines: usize) -> f64 {
+    let cloud = &settings.cluster.cloud;
+    let pages = 1.0 + (machines / LIST_PAGE) as f64;
+    (cloud.list_lag_s / 2.0).max(pages / (LIST_SHARE * cloud.rps))
+}
+
 /// The time of day, for records.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::busy;
 use super::controller::{wall_ms, Located, Message};
+use super::polls::Polls;
 use crate::bookkeeping::records::*;
 use crate::bookkeeping::store::{Outcome, Store, Unavailable};
 use crate::protocol::cloud::MachineType;
@@ -14,7 +15,7 @@
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 use tracing::debug;
 
@@ -71,12 +72,30 @@
     }
 }
 
+/// The machine types as last heard of: a submission needs nothing else, and so does not wait for
+/// the controller.
+#[derive(Default)]
+pub struct SharedTypes(RwLock<Arc<Vec<MachineType>>>);
+
+impl SharedTypes {
+    pub fn get(&self) -> Arc<Vec<MachineType>> {
+        let types = self.0.read().unwrap_or_else(|e| e.into_inner());
+        types.clone()
+    }
+
+    pub fn set(&self, types: Vec<MachineType>) {
+        *self.0.write().unwrap_or_else(|e| e.into_inner()) = Arc::new(types);
+    }
+}
+
 pub struct Gateway {
     pub settings: Arc<Settings>,
     pub store: Store,
     pub peers: Peers,
     pub controller: Sender<Message>,
     pub tasks: Receiver<Task>,
+    pub types: Arc<SharedTypes>,
+    pub polls: Polls,
     /// Peers that lately gave no answer, and until when they are not asked.
     pub unreachable: RefCell<HashMap<String, Instant>>,
 }
@@ -90,22 +109,15 @@
 impl Gateway {
     pub fn run(self) {
         for task in &self.tasks {
-            let begun = Instant::now();
-            let what = match &task.work {
-                Work::Call { call, .. } => call.name(),
-                Work::PassOn { .. } => "report",
-            };
-            let reply = match task.work {
-                Work::Call { call, from_peer } => self.answer(&call, from_peer),
-                Work::PassOn { leader, body } => self
-                    .peers
-                    .report(&leader, body, 2 * LEADER_PATIENCE)
-                    .unwrap_or_else(|| Reply::later("the leader is not reached")),
-            };
-            if begun.elapsed() > LEADER_PATIENCE / 4 || reply.status >= 500 {
-                debug!("{what}: {} after {:?}", reply.status, begun.elapsed());
+            match task.work {
+                Work::Call { call, from_peer } => self.answer(&call, from_peer, task.respond),
+                Work::PassOn { leader, body } => {
+                    let reply = self.peers.report(&leader, body, 2 * LEADER_PATIENCE);
+                    (task.respond)(
+                        reply.unwrap_or_else(|| Reply::later("the leader is not reached")),
+                    );
+                }
             }
-            (task.respond)(reply);
         }
     }
 
@@ -117,79 +129,92 @@
         rx.recv_timeout(LEADER_PATIENCE).ok()
     }
 
-    fn answer(&self, call: &Call, from_peer: bool) -> Reply {
-        let spec = match call {
-            Call::Submit(body) => match JobSpec::parse(body) {
-                Ok(spec) => Some(spec),
-                Err(error) => return Reply::error(400, error),
+    fn answer(&self, call: &Call, from_peer: bool, respond: Respond) {
+        let begun = Instant::now();
+        let reply = match call {
+            Call::Submit(body) => self.answer_submission(body, from_peer),
+            Call::Cancel(id) => self.answer_cancellation(id, from_peer),
+            Call::Query(id) => match self.answer_query(id, from_peer) {
+                Answered::Now(reply) => reply,
+                Answered::Unless(status) => return self.polls.confirm(status, respond),
             },
-            _ => None,
+            Call::Report(_) => Reply::error(404, "no such path"),
         };
-        let (kind, id, body) = match call {
-            Call::Submit(body) => (
-                AskKind::Submit,
-                spec.as_ref().map_or("", |s| &s.id),
-                &body[..],
-            ),
-            Call::Query(id) => (AskKind::Query, id.as_str(), &[][..]),
-            Call::Cancel(id) => (AskKind::Cancel, id.as_str(), &[][..]),
-            Call::Report(_) => return Reply::error(404, "no such path"),
+        if begun.elapsed() > LEADER_PATIENCE / 4 || reply.status >= 500 {
+            let what = call.name();
+            debug!("{what}: {} after {:?}", reply.status, begun.elapsed());
+        }
+        respond(reply);
+    }
+
+    /// Any node records a submission itself; the leader hears of it by its watch.
+    fn answer_submission(&self, body: &[u8], from_peer: bool) -> Reply {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(error) => return Reply::error(400, error),
         };
+        let result = self.submit(&spec);
+        self.or_others(result, AskKind::Submit, &spec.id, body, from_peer)
+    }
+
+    fn answer_cancellation(&self, id: &str, from_peer: bool) -> Reply {
+        self.or_others(self.cancel(id), AskKind::Cancel, id, &[], from_peer)
+    }
+
+    fn answer_query(&self, id: &str, from_peer: bool) -> Answered {
         let Some(located) = self.locate(id) else {
-            return busy();
+            return Answered::Now(busy());
         };
-        if let Some(status) = &located.status {
+        if let Some(status) = located.status {
             let ended = matches!(status.state, JobState::Done | JobState::Cancelled);
-            if ended {
-                return Reply::json(200, status);
-            }
-            if kind != AskKind::Cancel {
-                return self.unless_ended(status);
-            }
+            return match ended {
+                true => Answered::Now(Reply::json(200, &status)),
+                false => Answered::Unless(status),
+            };
         }
         if let (false, false, Some(leader)) = (from_peer, located.leads, &located.leader) {
-            if let Some(reply) = self.ask(leader, kind, id, body) {
+            if let Some(reply) = self.ask(leader, AskKind::Query, id, &[]) {
                 // A leader that cannot take it now may be cut off where this node is not.
                 if reply.status < 500 && reply.status != 429 {
-                    return reply;
+                    self.note_end(id, &reply);
+                    return Answered::Now(reply);
                 }
             }
         }
-        let result = match &spec {
-            Some(spec) => self.submit(spec, &located),
-            None if kind == AskKind::Cancel => self.cancel(id),
-            None => self.query(id),
+        let result = self.query(id);
+        Answered::Now(self.or_others(result, AskKind::Query, id, &[], from_peer))
+    }
+
+    /// An end that the leader tells of never changes: it is answered from here the next time.
+    fn note_end(&self, id: &str, reply: &Reply) {
+        let Ok(status) = serde_json::from_slice::<JobStatus>(&reply.body) else {
+            return;
         };
+        if reply.status == 200 && matches!(status.state, JobState::Done | JobState::Cancelled) {
+            ended_status(&self.controller, id, status.state);
+        }
+    }
+
+    /// What the state service does not let this node do, another may: it may be refused alone.
+    fn or_others(
+        &self,
+        result: Result<Reply, Unavailable>,
+        kind: AskKind,
+        id: &str,
+        body: &[u8],
+        from_peer: bool,
+    ) -> Reply {
         match result {
             Ok(reply) => reply,
-            Err(Unavailable) if from_peer => Reply::later("the state service is not reached"),
+            Err(Unavailable) if from_peer => later(),
             Err(Unavailable) => self
                 .peers
                 .names()
-                .filter(|name| Some(*name) != located.leader.as_ref())
                 .find_map(|name| self.ask(name, kind, id, body).filter(|r| r.status < 500))
-                .unwrap_or_else(|| Reply::later("the state service is not reached")),
+                .unwrap_or_else(later),
         }
     }
 
-    /// The leader's picture of an open job. Another node may have told its user of a cancellation
-    /// that has not come through to here, and nobody may answer with an older state after that.
-    fn unless_ended(&self, status: &JobStatus) -> Reply {
-        match self.store.read::<EndRecord>(&end_key(&status.id)) {
-            Ok(None) => Reply::json(200, status),
-            Ok(Some((end, _))) => Reply::json(200, &self.ended(&status.id, end.state)),
-            Err(Unavailable) => Reply::later("the state service is not reached"),
-        }
-    }
-
-    /// An end that the state service tells of, which the controller learns by this.
-    fn ended(&self, id: &str, state: JobState) -> JobStatus {
-        let _ = self
-            .controller
-            .try_send(Message::Ended(id.to_string(), state));
-        without_counts(id, state)
-    }
-
     fn ask(&self, peer: &str, kind: AskKind, id: &str, body: &[u8]) -> Option<Reply> {
         let now = Instant::now();
         if self
@@ -211,13 +236,22 @@
         reply
     }
 
-    /// What the state service says of a job; `None` if it was never accepted.
+    /// What the state service says of a job; `None` if it was never accepted. The description is
+    /// read first: it goes in the same transaction as the end comes, or stays until later.
     fn recorded(&self, id: &str) -> Result<Option<JobStatus>, Unavailable> {
-        if let Some((end, _)) = self.store.read::<EndRecord>(&end_key(id))? {
-            return Ok(Some(self.ended(id, end.state)));
+        let open = self.store.read::<OpenRecord>(&open_key(id))?;
+        match open {
+            Some((record, _)) if record.cancelled => Ok(Some(ended_status(
+                &self.controller,
+                id,
+                JobState::Cancelled,
+            ))),
+            Some(_) => Ok(Some(without_counts(id, JobState::Pending))),
+            None => {
+                let end = self.store.read::<EndRecord>(&end_key(id))?;
+                Ok(end.map(|(end, _)| ended_status(&self.controller, id, end.state)))
+            }
         }
-        let known = self.store.get(&job_key(id))?.is_some();
-        Ok(known.then(|| without_counts(id, JobState::Pending)))
     }
 
     fn query(&self, id: &str) -> Result<Reply, Unavailable> {
@@ -227,12 +261,11 @@
         })
     }
 
-    fn submit(&self, spec: &JobSpec, located: &Located) -> Result<Reply, Unavailable> {
-        let refusal = match located.types.is_empty() {
+    fn submit(&self, spec: &JobSpec) -> Result<Reply, Unavailable> {
+        let types = self.types.get();
+        let refusal = match types.is_empty() {
             true => Some(Reply::later("the machine types are not known yet")),
-            false => {
-                cannot_run(spec, &self.settings, &located.types).map(|why| Reply::error(422, why))
-            }
+            false => cannot_run(spec, &self.settings, &types).map(|why| Reply::error(422, why)),
         };
         if let Some(refusal) = refusal {
             // What was accepted once stays accepted.
@@ -247,8 +280,8 @@
             cancelled: false,
         };
         let txn = Transaction::default()
-            .absent(job_key(&spec.id))
-            .put(job_key(&spec.id), serde_json::json!({}))
+            .absent(open_key(&spec.id))
+            .absent(end_key(&spec.id))
             .put(
                 open_key(&spec.id),
                 serde_json::to_value(&record).expect("plain data"),
@@ -312,7 +345,7 @@
     }
 
     fn cancelled(&self, id: &str) -> Reply {
-        self.ended(id, JobState::Cancelled);
+        ended_status(&self.controller, id, JobState::Cancelled);
         Reply::json(
             200,
             &serde_json::json!({"name_id": id, "status": "cancelled"}),
@@ -320,6 +353,22 @@
     }
 }
 
+enum Answered {
+    Now(Reply),
+    /// What the leader's picture says, unless the job's end is on record.
+    Unless(JobStatus),
+}
+
+pub(super) fn later() -> Reply {
+    Reply::later("the state service is not reached")
+}
+
+/// An end that the state service tells of, which the controller learns by this.
+pub(super) fn ended_status(controller: &Sender<Message>, id: &str, state: JobState) -> JobStatus {
+    let _ = controller.try_send(Message::Ended(id.to_string(), state));
+    without_counts(id, state)
+}
+
 fn without_counts(id: &str, state: JobState) -> JobStatus {
     JobStatus {
         id: id.to_string(),
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -1,32 +1,46 @@
 //! Starts the actors and joins them by channels.
 //!
 //! The [`controller`] owns the picture of the cluster; the election, the watch, the writers, the
-//! order senders and the cloud's callers each work on their own threads and speak to it by
-//! messages. Users' requests pass through the [`gateway`]'s stage, whose buffer is small: what
+//! cloud's callers each work on their own threads and speak to it by messages. Users' requests pass through the [`gateway`]'s stage, whose buffer is small: what
 //! does not fit is answered at once.
 
 pub mod controller;
 pub mod gateway;
+mod isolation;
+pub mod polls;
 pub mod workers;
 
 use crate::bookkeeping::store::Store;
 use crate::coordination::election::{self, Election};
 use crate::settings::Settings;
-use crate::transport::front::{self, Call};
+use crate::transport::front::{self, Bounds, Call};
 use crate::transport::peers::{PeerCall, Peers};
+use crate::transport::runtime::Runtime;
 use crate::transport::Reply;
 use anyhow::Context;
 use controller::{Controller, Links, Message};
 use crossbeam::channel::bounded;
-use gateway::{Gateway, Task};
+use gateway::{Gateway, SharedTypes, Task};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Messages that may wait for the controller.
 const INBOX: usize = 512;
 /// Users' requests that may wait, and how many are worked on at a time.
-const STAGE: usize = 64;
-const GATEWAYS: usize = 8;
+const STAGE: usize = 128;
+const GATEWAYS: usize = 16;
+/// Shares of the sockets that a process may have: what the front may hold, of that the workers and
+/// the users at the most, and direct commands to workers. The rest is for peers, the state service
+/// and the cloud.
+const FRONT_SHARE: f64 = 0.85;
+const WORKERS_SHARE: f64 = 0.65;
+const USERS_SHARE: f64 = 0.5;
+const ORDERS_SHARE: f64 = 0.05;
+/// Report intervals for which a connection may stay open without a request.
+const IDLE_REPORTS: f64 = 10.0;
+const LEAST_IDLE_S: f64 = 20.0;
+/// A request's body comes within this time, which is what its sender waits for an answer.
+const BODY_PATIENCE: Duration = Duration::from_secs(4);
 
 /// Runs a controller; returns only if it cannot start.
 pub fn run(settings: Settings) -> anyhow::Result<()> {
@@ -53,8 +67,14 @@
         .iter()
         .map(|p| (p.name.clone(), p.address))
         .collect();
-    let peers = Peers::start(settings.cluster_listen, &names, Arc::new(peer_calls))
-        .context("cannot listen for peers")?;
+    let runtime = Runtime::start().context("cannot start the runtime")?;
+    let peers = Peers::start(
+        &runtime,
+        settings.cluster_listen,
+        &names,
+        Arc::new(peer_calls),
+    )
+    .context("cannot listen for peers")?;
 
     let store = Store::new(settings.endpoints.state, GATEWAYS);
     let (wishes, wished) = election::wishes();
@@ -75,6 +95,8 @@
     };
     spawn("election", move || election.run())?;
 
+    let types = Arc::<SharedTypes>::default();
+    let polls = polls::start(&settings, &store, &inbox)?;
     for _ in 0..GATEWAYS {
         let gateway = Gateway {
             settings: settings.clone(),
@@ -82,15 +104,26 @@
             peers: peers.clone(),
             controller: inbox.clone(),
             tasks: tasks.clone(),
+            types: types.clone(),
+            polls: polls.clone(),
             unreachable: Default::default(),
         };
         spawn("gateway", move || gateway.run())?;
     }
 
-    let pool = workers::start(&settings, &store, &inbox)?;
+    let sockets = settings.cluster.limits.max_sockets as f64;
+    let share = |share: f64| (share * sockets) as usize;
+    let pool = workers::start(
+        &settings,
+        &runtime,
+        share(ORDERS_SHARE),
+        &store,
+        &types,
+        &inbox,
+    )?;
     let links = Links {
-        store,
-        peers,
+        store: store.clone(),
+        peers: peers.clone(),
         inbox: inbox.clone(),
         stage: stage.clone(),
         wishes,
@@ -101,7 +134,16 @@
         Call::Report(body) => controller::offer_report(&inbox, body, false, respond),
         call => gateway::offer(&stage, Task::user(call, respond)),
     };
-    front::serve(settings.front, Arc::new(handler)).context("cannot listen for users")?;
+    let bounds = Bounds {
+        connections: share(FRONT_SHARE),
+        workers: share(WORKERS_SHARE),
+        users: share(USERS_SHARE),
+        idle: Duration::from_secs_f64((IDLE_REPORTS * report_s).max(LEAST_IDLE_S)),
+        body: BODY_PATIENCE,
+    };
+    let health = isolation::watch(store, peers, epoch)?;
+    front::serve(&runtime, settings.front, bounds, Arc::new(handler), health)
+        .context("cannot listen for users")?;
     tracing::info!("{} serves on {}", settings.name, settings.front);
     controller.run(messages);
     anyhow::bail!("the controller has stopped")
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -1,6 +1,7 @@
-//! The threads that speak to the state service, the workers and the cloud for the controller.
+//! What speaks to the state service, the workers and the cloud for the controller.
 
 use super::controller::Message;
+use super::gateway::SharedTypes;
 use super::spawn;
 use crate::bookkeeping::records::TYPES;
 use crate::bookkeeping::store::{Outcome, Store};
@@ -11,8 +12,11 @@
 use crate::protocol::worker::{Orders, Report};
 use crate::settings::Settings;
 use crate::transport::client::{Answer, Client};
+use crate::transport::courier::Courier;
+use crate::transport::runtime::Runtime;
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 use serde_json::json;
+use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, warn};
 
@@ -22,53 +26,52 @@
     List,
 }
 
-/// The channels to those threads.
+/// The ways to them.
 pub struct Pool {
     inbox: Sender<Message>,
     writes: Sender<(u64, Transaction)>,
-    orders: Sender<(Name, String, Orders)>,
+    orders: Courier,
     cloud: Sender<CloudCall>,
 }
 
 const WRITERS: usize = 3;
-/// Each may wait for a machine that hangs: together they must outnumber those that do.
-const ORDERERS: usize = 12;
 const CLOUD_CALLERS: usize = 3;
 const QUEUE: usize = 256;
 /// A worker answers at once or hangs; its own reports bring what direct commands could not.
 const ORDER_PATIENCE: Duration = Duration::from_millis(1500);
 const CLOUD_PATIENCE: Duration = Duration::from_secs(4);
 const CLOUD_TRIES: u32 = 6;
-const MOST_REPORT: u64 = 1024 * 1024;
+const MOST_REPORT: usize = 1024 * 1024;
 const MOST_LIST: u64 = 4 * 1024 * 1024;
 
-pub fn start(settings: &Settings, store: &Store, inbox: &Sender<Message>) -> anyhow::Result<Pool> {
+pub fn start(
+    settings: &Settings,
+    runtime: &Runtime,
+    order_sockets: usize,
+    store: &Store,
+    types: &Arc<SharedTypes>,
+    inbox: &Sender<Message>,
+) -> anyhow::Result<Pool> {
     let (writes, to_write) = bounded(QUEUE);
-    let (orders, to_order) = bounded(QUEUE);
     let (cloud, to_cloud) = bounded(QUEUE);
     for _ in 0..WRITERS {
         let (store, jobs, inbox) = (store.clone(), to_write.clone(), inbox.clone());
         spawn("writer", move || write_all(&store, &jobs, &inbox))?;
     }
-    let machines = Client::new(settings.endpoints.state, ORDERERS, MOST_REPORT);
-    for _ in 0..ORDERERS {
-        let (client, jobs, inbox) = (machines.clone(), to_order.clone(), inbox.clone());
-        spawn("orders", move || order_all(&client, &jobs, &inbox))?;
-    }
     let client = Client::new(settings.endpoints.cloud, CLOUD_CALLERS, MOST_LIST);
     for _ in 0..CLOUD_CALLERS {
         let (client, jobs, inbox) = (client.clone(), to_cloud.clone(), inbox.clone());
         spawn("cloud", move || call_cloud(&client, &jobs, &inbox))?;
     }
     let pause = Duration::from_secs_f64(settings.cluster.cloud.list_lag_s.max(1.0) * 4.0);
-    let (store, types_inbox) = (store.clone(), inbox.clone());
+    let (store, types, types_inbox) = (store.clone(), types.clone(), inbox.clone());
     spawn("types", move || {
-        follow_types(&client, &store, &types_inbox, pause)
+        follow_types(&client, &store, &types, &types_inbox, pause)
     })?;
     Ok(Pool {
         inbox: inbox.clone(),
         writes,
-        orders,
+        orders: Courier::new(runtime, order_sockets, ORDER_PATIENCE, MOST_REPORT),
         cloud,
     })
 }
@@ -80,15 +83,14 @@
         }
     }
 
-    pub fn order(&self, machine: Name, endpoint: String, orders: Orders) {
-        let sent = self.orders.try_send((machine, endpoint, orders));
-        if let Err(TrySendError::Full((machine, ..)) | TrySendError::Disconnected((machine, ..))) =
-            sent
-        {
-            let _ = self
-                .inbox
-                .try_send(Message::Ordered(machine, Ordered::NotSent));
-        }
+    pub fn order(&self, machine: Name, endpoint: &str, orders: &Orders) {
+        let inbox = self.inbox.clone();
+        let body = serde_json::to_vec(orders).expect("plain data");
+        let taker = move |answer| {
+            let message = Message::Ordered(machine.clone(), ordered(&answer));
+            inbox.try_send(message).map_err(|_| answer)
+        };
+        self.orders.post(endpoint, "/orders", body, Box::new(taker));
     }
 
     pub fn cloud(&self, call: CloudCall) {
@@ -130,22 +132,16 @@
     items
 }
 
-fn order_all(client: &Client, jobs: &Receiver<(Name, String, Orders)>, inbox: &Sender<Message>) {
-    for (machine, endpoint, orders) in jobs {
-        let answer = client
-            .at(&endpoint)
-            .post("/orders", &orders, ORDER_PATIENCE);
-        let result = match answer {
-            Answer::Response(200, _) => match answer.ok::<Report>() {
-                Some(report) => Ordered::Executed(report),
-                None => Ordered::Unknown,
-            },
-            Answer::Response(409, body) => Ordered::Rejected(serde_json::from_slice(&body).ok()),
-            Answer::Response(400, _) => Ordered::Rejected(None),
-            Answer::NotSent => Ordered::NotSent,
-            Answer::Response(..) | Answer::Unknown => Ordered::Unknown,
-        };
-        let _ = inbox.send(Message::Ordered(machine, result));
+fn ordered(answer: &Answer) -> Ordered {
+    match answer {
+        Answer::Response(200, _) => match answer.ok::<Report>() {
+            Some(report) => Ordered::Executed(report),
+            None => Ordered::Unknown,
+        },
+        Answer::Response(409, body) => Ordered::Rejected(serde_json::from_slice(body).ok()),
+        Answer::Response(400, _) => Ordered::Rejected(None),
+        Answer::NotSent => Ordered::NotSent,
+        Answer::Response(..) | Answer::Unknown => Ordered::Unknown,
     }
 }
 
@@ -170,7 +166,13 @@
 
 /// Keeps the machine types current. The last ones seen are kept in the state service, so that a
 /// node which starts while the cloud is down can still take and place jobs.
-fn follow_types(client: &Client, store: &Store, inbox: &Sender<Message>, pause: Duration) {
+fn follow_types(
+    client: &Client,
+    store: &Store,
+    shared: &SharedTypes,
+    inbox: &Sender<Message>,
+    pause: Duration,
+) {
     let mut known: Vec<MachineType> = Vec::new();
     let mut recorded: Option<Vec<MachineType>> = None;
     loop {
@@ -205,6 +207,7 @@
             }
         }
         known.clone_from(&types);
+        shared.set(types.clone());
         let _ = inbox.send(Message::Types(types));
         std::thread::sleep(pause);
     }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,4 +1,4 @@
-//! HTTP requests to the state service, the cloud and workers, bounded in time and size.
+//! HTTP requests to the state service and the cloud, bounded in time and size.
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -49,14 +49,6 @@
         }
     }
 
-    /// The same limits and connections for another address.
-    pub fn at(&self, remote: &str) -> Client {
-        Client {
-            base: format!("http://{remote}"),
-            ..self.clone()
-        }
-    }
-
     pub fn get(&self, path: &str, within: Duration) -> Answer {
         self.finish(self.agent.get(&self.url(path)).timeout(within).call())
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,8 +1,11 @@
-//! Connections: the HTTP front, HTTP requests to other services, and gRPC between controllers.
+//! Connections: the HTTP front, HTTP requests to other services and to workers, and gRPC between
+//! controllers.
 
 pub mod client;
+pub mod courier;
 pub mod front;
 pub mod peers;
+pub mod runtime;
 
 use std::borrow::Cow;
 
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -1,5 +1,6 @@
-//! gRPC between the controllers. Tonic's runtime has one thread and stays in this module.
+//! gRPC between the controllers.
 
+use super::runtime::Runtime;
 use super::{Reply, Respond};
 use crossbeam::channel::bounded;
 use std::collections::HashMap;
@@ -7,7 +8,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::runtime::Handle;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
@@ -98,21 +98,18 @@
 /// The other controllers, each reached over one connection.
 #[derive(Clone)]
 pub struct Peers {
-    runtime: Handle,
+    runtime: Runtime,
     channels: Arc<HashMap<String, Channel>>,
 }
 
 impl Peers {
-    /// Starts the runtime's thread, the server and the clients.
+    /// Starts the server and the clients.
     pub fn start(
+        runtime: &Runtime,
         listen: SocketAddr,
         peers: &[(String, SocketAddr)],
         handler: Arc<PeerHandler>,
     ) -> std::io::Result<Peers> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
-        let handle = runtime.handle().clone();
         let mut channels = HashMap::new();
         {
             let _inside = runtime.enter();
@@ -125,21 +122,17 @@
             }
         }
         let service = PeerServer::new(Service { handler }).max_decoding_message_size(MOST_BYTES);
-        std::thread::Builder::new()
-            .name("peers".into())
-            .spawn(move || {
-                runtime.block_on(async move {
-                    loop {
-                        let server = Server::builder().add_service(service.clone());
-                        if let Err(error) = server.serve(listen).await {
-                            tracing::warn!("cannot serve peers: {error}");
-                        }
-                        tokio::time::sleep(CONNECT).await;
-                    }
-                })
-            })?;
+        runtime.spawn(async move {
+            loop {
+                let server = Server::builder().add_service(service.clone());
+                if let Err(error) = server.serve(listen).await {
+                    tracing::warn!("cannot serve peers: {error}");
+                }
+                tokio::time::sleep(CONNECT).await;
+            }
+        });
         Ok(Peers {
-            runtime: handle,
+            runtime: runtime.clone(),
             channels: Arc::new(channels),
         })
     }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -295,7 +295,6 @@
         let records = Records {
             open: self.store.under(OPEN),
             run: self.store.under(RUN),
-            machines: self.store.under(MACHINE),
         };
         core.recover(records, 0, self.now);
         self.core = core;
@@ -543,8 +542,8 @@
             cancelled: false,
         };
         let txn = Transaction::default()
-            .absent(job_key(&id))
-            .put(job_key(&id), json!({}))
+            .absent(open_key(&id))
+            .absent(end_key(&id))
             .put(open_key(&id), serde_json::to_value(&record).unwrap());
         if let Ok(version) = self.store.commit(&txn) {
             self.core.job_opened(record, version, 0, self.now);
