Places of many jobs in one record; ends are recorded before launches

Records of single jobs' places took every change of the budget as soon as it came free, and an end, which takes two, never found two. Every pass that placed tasks of twenty jobs cost twenty changes. Change: places go into shared records (place/N), one change a pass; what has completed is recorded apart, after half a lease; ends come first. After a lost answer only changed keys are read again.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -3,7 +3,8 @@
 //! - `leader`: who leads, on a lease; its version is the leader's token
 //! - `open/ID`: the job was accepted, and its description; until its end
 //! - `end/ID`: how the job ended; write-once, kept for ever
-//! - `run/ID/CHUNK`: places, attempts and completed tasks of a range of tasks
+//! - `place/N`: places and attempts of tasks, of many jobs together
+//! - `run/ID/CHUNK`: which of a range of tasks have completed
 //! - `types`: the machine types that the cloud last told
 //!
 //! A job is accepted by writing `open/ID` while neither that nor `end/ID` is there: one change, and
@@ -16,6 +17,7 @@
 
 pub const LEADER: &str = "leader";
 pub const OPEN: &str = "open/";
+pub const PLACE: &str = "place/";
 pub const RUN: &str = "run/";
 pub const TYPES: &str = "types";
 
@@ -31,6 +33,15 @@
     format!("{RUN}{id}/{chunk}")
 }
 
+pub fn place_key(slab: usize) -> String {
+    format!("{PLACE}{slab}")
+}
+
+/// The number in `place/N`.
+pub fn parse_place_key(key: &str) -> Option<usize> {
+    key.strip_prefix(PLACE)?.parse().ok()
+}
+
 /// Splits `run/ID/CHUNK` into its parts.
 pub fn parse_run_key(key: &str) -> Option<(&str, usize)> {
     let (id, chunk) = key.strip_prefix(RUN)?.rsplit_once('/')?;
@@ -58,13 +69,18 @@
     pub state: JobState,
 }
 
-/// Completed tasks as ranges (first, last), and where the others may be.
+/// Completed tasks as ranges (first, last).
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u32, u32)>,
+}
+
+/// Where tasks are or may be: for each job, for each machine, tasks with their attempts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlaceRecord {
     #[serde(rename = "p", default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub places: BTreeMap<String, Vec<(u32, u64)>>,
+    pub places: BTreeMap<String, BTreeMap<String, Vec<(u32, u64)>>>,
 }
 
 impl RunRecord {
@@ -77,11 +93,18 @@
     }
 }
 
-/// The longest text that a task can take in a record: its number, its attempt and a share of its
-/// machine's name.
-const BYTES_A_TASK: f64 = 64.0;
+/// The longest text that a place can take in a record: its job, its machine, its task's number and
+/// its attempt.
+const BYTES_A_PLACE: f64 = 64.0;
+/// The same for a completed task, when only every other one is.
+const BYTES_A_TASK: f64 = 8.0;
+
+/// How many places go into one record, so that it stays within the largest value.
+pub fn places_a_slab(value_kb: f64) -> usize {
+    ((value_kb * 1024.0 / BYTES_A_PLACE) as usize).max(1)
+}
 
-/// How many tasks go into one record, so that it stays within the largest value.
+/// How many tasks go into one record of what has completed.
 pub fn tasks_a_chunk(value_kb: f64) -> usize {
     ((value_kb * 1024.0 / BYTES_A_TASK) as usize).max(1)
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,7 +4,9 @@
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// A cluster scheduler: one leading controller, backfilling on learned run times.
 #[derive(Parser)]
@@ -69,11 +71,17 @@
         Ok("debug") => LevelFilter::DEBUG,
         _ => LevelFilter::INFO,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    let layer = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .without_time()
-        .with_target(false)
+        .with_target(false);
+    // Libraries only tell what goes wrong.
+    let targets = Targets::new()
+        .with_default(level.min(LevelFilter::WARN))
+        .with_target(env!("CARGO_CRATE_NAME"), level);
+    tracing_subscriber::registry()
+        .with(layer)
+        .with(targets)
         .init();
 }
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -11,7 +11,7 @@
 use crate::bookkeeping::budget::Budget;
 use crate::bookkeeping::records::*;
 use crate::protocol::cloud::{MachineType, Rent};
-use crate::protocol::job::{JobState, Priority};
+use crate::protocol::job::JobState;
 use crate::protocol::store::{Item, Transaction};
 use crate::protocol::worker::*;
 use crate::settings::{Settings, Team};
@@ -73,15 +73,13 @@
     Deposed,
 }
 
-/// The order in which records are written: by priority, then by arrival.
-pub(super) type Turn = (std::cmp::Reverse<Priority>, u64);
-
-/// A record on its way, with the places that it makes known.
-pub(super) type SentChunk = (Name, usize, Vec<(Name, PlaceKey)>);
+/// A record of places on its way, with those that it makes known for the first time.
+pub(super) type SentSlab = (usize, Vec<(PlaceKey, Name)>);
 
 #[derive(Default)]
 pub(super) struct InFlight {
-    pub chunks: Vec<SentChunk>,
+    pub slabs: Vec<SentSlab>,
+    pub chunks: Vec<(Name, usize)>,
     pub ends: Option<Name>,
     pub removed: Vec<String>,
 }
@@ -100,9 +98,12 @@
     pub(super) gone: BTreeMap<Name, Time>,
     pub(super) effects: Vec<Effect>,
     pub(super) fleet: super::fleet::Fleet,
-    /// Records that launches wait for, in the order in which they are written.
-    pub(super) urgent: BTreeSet<(Turn, Name, usize)>,
-    /// Records that are out of date, the oldest first.
+    /// The records of places, and those that launches wait for.
+    pub(super) slabs: Vec<Slab>,
+    pub(super) urgent: BTreeSet<usize>,
+    /// The record that new places go into.
+    pub(super) open_slab: usize,
+    /// Records of completed tasks that are out of date, the oldest first.
     pub(super) lagging: VecDeque<(Time, Name, usize)>,
     /// Jobs of which nothing is left but the record of their end.
     pub(super) over: BTreeSet<Name>,
@@ -130,6 +131,7 @@
     /// When every other controller had promised to answer no report with a lower token.
     pub(super) promised: Option<Time>,
     pub(super) tasks_a_chunk: usize,
+    pub(super) places_a_slab: usize,
 }
 
 pub(super) const WRITES_IN_FLIGHT: usize = 3;
@@ -165,7 +167,9 @@
             gone: BTreeMap::new(),
             effects: Vec::new(),
             fleet: Default::default(),
+            slabs: Vec::new(),
             urgent: BTreeSet::new(),
+            open_slab: 0,
             lagging: VecDeque::new(),
             over: BTreeSet::new(),
             to_order: BTreeSet::new(),
@@ -185,6 +189,7 @@
             deposed: false,
             promised: None,
             tasks_a_chunk: tasks_a_chunk(c.state.value_kb),
+            places_a_slab: places_a_slab(c.state.value_kb),
             settings,
         }
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -238,7 +238,7 @@
     }
 
     /// Processors that batches can use, on machines that are up and on those that come.
-    fn batch_cpus(&self, now: Time) -> f64 {
+    fn cpus_to_come(&self, now: Time) -> f64 {
         let coming = self.fleet.renting.values().map(|r| {
             let cpus = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
             cpus * f64::from(r.count)
@@ -280,7 +280,7 @@
         batches.sort_by_key(|j| j.seq);
         let boots = self.types.iter().map(|t| t.boot_s);
         let boot_s = boots.sum::<f64>() / self.types.len().max(1) as f64;
-        let have = self.batch_cpus(now);
+        let have = self.cpus_to_come(now);
         let running = self.work_running(now);
         let mut work = 0.0;
         let mut best: Option<(f64, &Job)> = None;
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -71,7 +71,7 @@
     pub(super) fn live_places(job: &Job) -> impl Iterator<Item = (u32, Name, u64)> + '_ {
         job.tasks.iter().enumerate().flat_map(|(i, task)| {
             let at = task.at.iter();
-            at.map(move |(machine, attempt)| (i as u32, machine.clone(), *attempt))
+            at.map(move |a| (i as u32, a.machine.clone(), a.attempt))
         })
     }
 
@@ -116,7 +116,7 @@
         job.failed_on.clear();
         job.setbacks = 0;
         // Another place of a task that is done is of no use.
-        let rest: Vec<(Name, u64)> = match is_gang {
+        let rest: Vec<At> = match is_gang {
             true => Vec::new(),
             false => job
                 .tasks
@@ -127,10 +127,10 @@
             self.over.insert(id.clone());
         }
         for t in touched {
-            self.touch(id, t, false, now);
+            self.touch(id, t, now);
         }
-        for (machine, attempt) in rest {
-            self.stop(&machine, &(id.clone(), task, attempt), 0.0, now);
+        for at in rest {
+            self.stop(&at.machine, &(id.clone(), task, at.attempt), 0.0, now);
         }
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! Everything but [`election`] is clock-free: it takes events with their time, and returns effects
 //! for other actors to carry out. [`core`] owns the state; [`places`] guards the invariants that the
-//! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`], [`backfill`], [`placement`], [`predict`], [`fleet`] and [`health`] decide.
+//! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`], [`deadlines`],
+//! [`backfill`], [`placement`], [`predict`], [`fleet`] and [`health`] decide.
 
 pub mod backfill;
 pub mod core;
+pub mod deadlines;
 pub mod election;
 pub mod fleet;
 pub mod health;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -95,6 +95,13 @@
         self.machines[i]
     }
 
+    /// Processors of all machines that take tasks.
+    pub fn cpus(&self) -> f64 {
+        let open = self.machines.iter().zip(&self.open).filter(|(_, o)| **o);
+        let cpus = |m: &Machine| self.core.type_of(&m.kind).map_or(0.0, |t| t.cpus);
+        open.map(|(m, _)| cpus(m)).sum()
+    }
+
     /// What batches may use of a machine's room.
     pub fn room(&self, i: usize) -> Room {
         let mut room = self.rooms[i];
@@ -131,8 +138,8 @@
             let mut zones = HashMap::new();
             // Only such jobs are asked for; others would be scanned for nothing.
             if job.spec.one_zone || job.spec.spread {
-                for (machine, _) in job.tasks.iter().flat_map(|t| &t.at) {
-                    if let Some(m) = core.machines.get(machine) {
+                for at in job.tasks.iter().flat_map(|t| &t.at) {
+                    if let Some(m) = core.machines.get(&at.machine) {
                         *zones.entry(m.zone.clone()).or_default() += 1;
                     }
                 }
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -23,6 +23,22 @@
         attempt: u64,
         stage: Stage,
         now: Time,
+    ) {
+        let slab = self.choose_slab();
+        self.add_place_in(slab, id, task, machine, attempt, stage, now);
+    }
+
+    /// The same, where it is known which record tells of the place.
+    #[allow(clippy::too_many_arguments)]
+    fn add_place_in(
+        &mut self,
+        slab: usize,
+        id: &Name,
+        task: u32,
+        machine: &Name,
+        attempt: u64,
+        stage: Stage,
+        now: Time,
     ) {
         let (Some(job), Some(m)) = (self.jobs.get_mut(id), self.machines.get_mut(machine)) else {
             return;
@@ -49,16 +65,49 @@
             return;
         }
         m.places_changed();
-        slot.at.push((machine.clone(), attempt));
+        slot.at.push(At {
+            machine: machine.clone(),
+            attempt,
+            slab,
+        });
         job.live += 1;
         let usage = self.team_use.entry(job.spec.team.clone()).or_default();
         usage.0 += need.cpus;
         usage.1 += need.gpus;
-        self.touch(id, task, stage == Stage::Planned, now);
+        self.enter(slab, (id.clone(), task, attempt), machine, stage, now);
     }
 
-    /// A task's record is out of date; `urgent`: a launch waits for it.
-    pub(super) fn touch(&mut self, id: &Name, task: u32, urgent: bool, now: Time) {
+    /// Enters a new place into a record.
+    fn enter(&mut self, slab: usize, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
+        let entry = &mut self.slabs[slab];
+        entry.entries.insert((key, machine.clone()));
+        match stage {
+            Stage::Planned => {
+                self.urgent.insert(slab);
+            }
+            _ => {
+                entry.dirty.get_or_insert(now);
+            }
+        }
+    }
+
+    /// The record that a new place goes into: the open one, until it is full or on its way.
+    fn choose_slab(&mut self) -> usize {
+        let most = self.places_a_slab;
+        let takes = |s: &Slab| !s.in_flight && s.entries.len() < most;
+        if !self.slabs.get(self.open_slab).is_some_and(takes) {
+            let with_room = self.slabs.iter().enumerate().filter(|(_, s)| takes(s));
+            let emptiest = with_room.min_by_key(|(_, s)| s.entries.len());
+            self.open_slab = emptiest.map_or(self.slabs.len(), |(i, _)| i);
+            if self.open_slab == self.slabs.len() {
+                self.slabs.push(Slab::default());
+            }
+        }
+        self.open_slab
+    }
+
+    /// The record of which tasks have completed is out of date.
+    pub(super) fn touch(&mut self, id: &Name, task: u32, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -68,11 +117,6 @@
             chunk.dirty = Some(now);
             self.lagging.push_back((now, id.clone(), i));
         }
-        if urgent && !chunk.urgent {
-            chunk.urgent = true;
-            let turn = (std::cmp::Reverse(job.spec.priority), job.seq);
-            self.urgent.insert((turn, id.clone(), i));
-        }
     }
 
     /// The task is surely not on the machine any more (or, `done`, has completed): it counts no
@@ -85,11 +129,11 @@
         let Some(slot) = job.tasks.get_mut(*task as usize) else {
             return;
         };
-        let before = slot.at.len();
-        slot.at.retain(|(m, a)| !(m == machine && a == attempt));
-        if slot.at.len() == before {
+        let held = |a: &At| a.machine == *machine && a.attempt == *attempt;
+        let Some(i) = slot.at.iter().position(held) else {
             return;
-        }
+        };
+        let at = slot.at.swap_remove(i);
         job.live -= 1;
         job.running -= u32::from(ran);
         job.first_open = job.first_open.min(*task as usize);
@@ -101,7 +145,10 @@
             self.over.insert(id.clone());
         }
         self.stirred = true;
-        self.touch(id, *task, false, now);
+        let slab = &mut self.slabs[at.slab];
+        if slab.entries.remove(&(key.clone(), machine.clone())) {
+            slab.dirty.get_or_insert(now);
+        }
     }
 
     pub(super) fn stop(&mut self, machine: &Name, key: &PlaceKey, grace_s: f64, now: Time) {
@@ -279,6 +326,7 @@
     /// Loads a place that an earlier leader recorded.
     pub(super) fn recover_place(
         &mut self,
+        slab: usize,
         id: &Name,
         task: u32,
         machine: &Name,
@@ -291,7 +339,7 @@
             m.phase = Phase::Up;
             m
         });
-        self.add_place(id, task, machine, attempt, Stage::Started, now);
+        self.add_place_in(slab, id, task, machine, attempt, Stage::Started, now);
         let m = self.machines.get_mut(machine);
         if let Some(p) = m.and_then(|m| m.places.get_mut(&(id.clone(), task, attempt))) {
             p.recovered = true;
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -2,6 +2,7 @@
 
 use super::backfill::{reserve, Frees, Reservation};
 use super::core::Core;
+use super::deadlines::{met, Due};
 use super::placement::Pass;
 use super::state::*;
 use super::Time;
@@ -10,6 +11,10 @@
 use std::collections::HashMap;
 use tracing::info;
 
+/// Nothing of a job may have run for this long before it goes by its arrival again, whatever it
+/// yields to: half of the four minutes within which the users' check wants the largest to begin.
+const START_PATIENCE_S: f64 = 120.0;
+
 /// Why a job's next task was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Blocked {
@@ -45,7 +50,8 @@
         pass.keep_warm();
         let within = self.within_guarantee();
         let rank = |j: &Job| !within.get(&j.id).copied().unwrap_or(false);
-        queue.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| in_turn(a, b, now)));
+        let turns = self.turns(&queue, self.batch_cpus(&pass), now);
+        queue.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| in_turn(a, b, &turns)));
         self.place_queue(&mut pass, &queue, &|j| !rank(j));
         let plans = pass.finish();
         for stop in plans.stops {
@@ -70,6 +76,80 @@
         }
     }
 
+    /// Processors of machines that take tasks and that no service holds.
+    fn batch_cpus(&self, pass: &Pass) -> f64 {
+        let services = self.jobs.values().filter(|j| j.is_service());
+        let held: f64 = services.map(|j| f64::from(j.live) * j.spec.cpus).sum();
+        (pass.cpus() - held).max(0.0)
+    }
+
+    /// How many times as late as their deadline jobs of a class may be, by the aims.
+    fn lateness(&self, class: &str) -> Vec<f64> {
+        let aims = self.settings.cluster.objectives.iter();
+        let of_class = aims.filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(class));
+        let mut times: Vec<f64> = of_class.filter_map(|o| o.times).collect();
+        times.sort_by(f64::total_cmp);
+        match times.is_empty() {
+            true => vec![1.0],
+            false => times,
+        }
+    }
+
+    /// The turns of the jobs that wait. Jobs without a deadline come in the order of arrival. A
+    /// deadline brings a job forward to the latest start that meets it; what can no longer be met
+    /// yields to what can, in tiers of lateness. A job that nothing of has run for long comes in the
+    /// order of its arrival all the same.
+    pub(super) fn turns(&self, queue: &[&Job], cpus: f64, now: Time) -> Turns {
+        let mut turns = Turns::new();
+        let mut left: Vec<(&Job, Vec<f64>)> = Vec::new();
+        let mut taken = 0.0;
+        for job in queue {
+            let overdue = job.first_run.is_none() && now - job.arrived > START_PATIENCE_S;
+            match job.spec.deadline_s {
+                Some(_) if !overdue => left.push((job, self.lateness(&job.spec.class))),
+                _ => {
+                    turns.insert(job.id.clone(), (0, job.arrived));
+                }
+            }
+        }
+        let mut tier = 0;
+        while !left.is_empty() {
+            let at = |job: &Job, times: &[f64]| -> Option<Time> {
+                let due_s = job.spec.deadline_s.unwrap_or(0.0);
+                times.get(tier).map(|t| job.arrived + due_s * t)
+            };
+            left.sort_by(|(a, x), (b, y)| {
+                let due = |j: &Job, t: &[f64]| at(j, t).unwrap_or(f64::INFINITY);
+                due(a, x).total_cmp(&due(b, y)).then(a.seq.cmp(&b.seq))
+            });
+            let dues: Vec<Due> = left
+                .iter()
+                .map(|(job, times)| Due {
+                    at: at(job, times).unwrap_or(f64::INFINITY),
+                    work: job.work_left(),
+                    least_s: job.predicted_s,
+                })
+                .collect();
+            let met = met(&dues, now, cpus, taken);
+            let mut rest = Vec::new();
+            for (i, (job, times)) in left.into_iter().enumerate() {
+                if !met[i] {
+                    rest.push((job, times));
+                    continue;
+                }
+                taken += dues[i].work;
+                let time = match dues[i].at.is_finite() {
+                    true => dues[i].at - job.predicted_s,
+                    false => job.arrived,
+                };
+                turns.insert(job.id.clone(), (tier, time));
+            }
+            left = rest;
+            tier += 1;
+        }
+        turns
+    }
+
     fn grace(&self, key: &PlaceKey) -> f64 {
         match self.jobs.get(&key.0) {
             Some(job) if job.spec.checkpoint_s > 0.0 && !job.cancelled => job.spec.save_s,
@@ -206,27 +286,16 @@
     }
 }
 
-/// A job's turn among those of its rank: in order of arrival, but a deadline brings it forward to
-/// the latest start that meets it. One that is missed already yields to those that are not.
-fn turn(job: &Job, now: Time) -> (bool, Time) {
-    match job.spec.deadline_s {
-        None => (false, job.arrived),
-        Some(due_s) => {
-            let latest = job.arrived + due_s - job.predicted_s;
-            (job.arrived + due_s < now, latest)
-        }
-    }
-}
+/// A job's turn among those of its priority: by tier, then in time.
+pub(super) type Turns = HashMap<Name, (usize, Time)>;
 
 /// The order of the queue: by priority, then in turn.
-pub(super) fn in_turn(a: &Job, b: &Job, now: Time) -> Ordering {
-    let by_time = || {
-        turn(a, now)
-            .partial_cmp(&turn(b, now))
-            .unwrap_or(Ordering::Equal)
-    };
+pub(super) fn in_turn(a: &Job, b: &Job, turns: &Turns) -> Ordering {
+    let turn = |j: &Job| turns.get(&j.id).copied().unwrap_or((0, j.arrived));
+    let ((a_tier, a_time), (b_tier, b_time)) = (turn(a), turn(b));
+    let by_turn = a_tier.cmp(&b_tier).then(a_time.total_cmp(&b_time));
     let by_priority = b.spec.priority.cmp(&a.spec.priority);
-    by_priority.then_with(by_time).then(a.seq.cmp(&b.seq))
+    by_priority.then(by_turn).then(a.seq.cmp(&b.seq))
 }
 
 fn waits(job: &Job, now: Time) -> bool {
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -13,6 +13,7 @@
 pub struct Records {
     pub open: Vec<Item>,
     pub run: Vec<Item>,
+    pub places: Vec<Item>,
 }
 
 impl Core {
@@ -41,7 +42,19 @@
             let Some(record) = Self::decode::<RunRecord>(&item.key, item.value) else {
                 continue;
             };
-            self.recover_chunk(&id, chunk, record, item.version, now);
+            self.recover_chunk(&id, chunk, record, item.version);
+        }
+        for item in records.places {
+            let Some(slab) = parse_place_key(&item.key) else {
+                continue;
+            };
+            if self.slabs.len() <= slab {
+                self.slabs.resize_with(slab + 1, Slab::default);
+            }
+            self.slabs[slab].version = item.version;
+            if let Some(record) = Self::decode::<PlaceRecord>(&item.key, item.value) {
+                self.recover_slab(slab, record, now);
+            }
         }
         info!(
             "leads with token {}: {} open jobs, places on {} machines",
@@ -57,28 +70,31 @@
         self.job_open(record, version, now, now - age_s);
     }
 
-    fn recover_chunk(
-        &mut self,
-        id: &Name,
-        chunk: usize,
-        record: RunRecord,
-        version: u64,
-        now: Time,
-    ) {
+    fn recover_chunk(&mut self, id: &Name, chunk: usize, record: RunRecord, version: u64) {
         for (first, last) in &record.done {
             for task in *first..=*last {
                 self.recover_done(id, task);
             }
         }
-        for (machine, places) in record.places {
-            let machine: Name = machine.as_str().into();
-            for (task, attempt) in places {
-                self.recover_place(id, task, &machine, attempt, now);
-            }
-        }
         if let Some(c) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(chunk)) {
             c.version = version;
-            c.dirty = None;
         }
     }
+
+    fn recover_slab(&mut self, slab: usize, record: PlaceRecord, now: Time) {
+        for (id, machines) in record.places {
+            let id: Name = id.as_str().into();
+            if !self.jobs.contains_key(&id) {
+                continue;
+            }
+            for (machine, places) in machines {
+                let machine: Name = machine.as_str().into();
+                for (task, attempt) in places {
+                    self.recover_place(slab, &id, task, &machine, attempt, now);
+                }
+            }
+        }
+        // What it holds of jobs that are over goes with its next writing.
+        self.slabs[slab].dirty = Some(now);
+    }
 }
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -73,17 +73,34 @@
 #[derive(Clone, Debug, Default)]
 pub struct Task {
     pub done: bool,
-    pub at: Vec<(Name, u64)>,
+    pub at: Vec<At>,
 }
 
-/// A record of a range of tasks in the state service.
+/// A machine that a task is or may be on.
+#[derive(Clone, Debug)]
+pub struct At {
+    pub machine: Name,
+    pub attempt: u64,
+    /// The record that tells of it.
+    pub slab: usize,
+}
+
+/// The record of which of a range of tasks have completed.
 #[derive(Clone, Debug, Default)]
 pub struct Chunk {
     pub version: u64,
     /// Since when the record is out of date.
     pub dirty: Option<Time>,
-    /// Whether a launch waits for it.
-    pub urgent: bool,
+    pub in_flight: bool,
+}
+
+/// A record of places. Those of many jobs share one, as a launch costs a change of its record.
+#[derive(Debug, Default)]
+pub struct Slab {
+    pub version: u64,
+    pub entries: BTreeSet<(PlaceKey, Name)>,
+    /// Since when it holds what is gone, or lacks what no launch waits for.
+    pub dirty: Option<Time>,
     pub in_flight: bool,
 }
 
@@ -157,6 +174,12 @@
         }
     }
 
+    /// The processor seconds that are left, by its prediction; what runs is half done on average.
+    pub fn work_left(&self) -> f64 {
+        let tasks = f64::from(self.unplaced_count()) + f64::from(self.live) / 2.0;
+        tasks * self.predicted_s * self.spec.cpus
+    }
+
     /// Whether nothing is left of it but the record of its end.
     pub fn is_over(&self) -> bool {
         let done = !self.is_service() && self.done as usize == self.tasks.len();
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -4,16 +4,20 @@
 use super::state::*;
 use super::Time;
 use crate::bookkeeping::records::{
-    end_key, open_key, parse_run_key, run_key, EndRecord, RunRecord, LEADER,
+    end_key, open_key, parse_place_key, parse_run_key, place_key, run_key, EndRecord, PlaceRecord,
+    RunRecord, LEADER,
 };
 use crate::protocol::job::JobState;
 use crate::protocol::store::{Item, Transaction};
+use std::collections::BTreeSet;
 use tracing::{info, warn};
 
-/// How long a record that no launch waits for may be out of date, in report intervals; and how
-/// many times longer while the budget is short.
-const RECORD_LAG: f64 = 1.0 / 3.0;
-const SCARCE: f64 = 6.0;
+/// How long a record that no launch waits for may be out of date, in leases; and how many times
+/// longer while the budget is short. What a worker has not been told to forget is not lost.
+const RECORD_LAG: f64 = 0.5;
+const SCARCE: f64 = 2.0;
+/// A transaction may have so many conditions for each change that it may have.
+const CONDITIONS_A_CHANGE: usize = 4;
 /// The share of the budget's burst that removals leave, and how many may be put off.
 const REMOVAL_LEVEL: f64 = 0.75;
 const MOST_STALE: usize = 1000;
@@ -25,8 +29,15 @@
             return;
         }
         while self.in_flight.len() < WRITES_IN_FLIGHT {
-            let written = self.write_end(now) || self.write_chunks(now) || self.write_removals(now);
-            if !written {
+            // Ends come first, and are waited for: users are told of them, and they cost little.
+            let ending = !self.over.is_empty();
+            if self.write_end(now) {
+                continue;
+            }
+            if ending && self.budget.level(now) < 2.0 {
+                break;
+            }
+            if !(self.write_slabs(now) || self.write_chunks(now) || self.write_removals(now)) {
                 break;
             }
         }
@@ -82,67 +93,109 @@
         true
     }
 
-    pub(super) fn chunk_record(
-        &self,
-        job: &Job,
-        chunk: usize,
-    ) -> (RunRecord, Vec<(Name, PlaceKey)>) {
-        let mut record = RunRecord::default();
+    /// A slab's record, with the planned places that it makes known. As many jobs' as a transaction
+    /// has conditions for; the others wait for the next.
+    fn slab_record(&self, slab: usize, most_jobs: usize) -> (PlaceRecord, SentSlab) {
+        let mut record = PlaceRecord::default();
         let mut planned = Vec::new();
-        let first = chunk * self.tasks_a_chunk;
-        let last = (first + self.tasks_a_chunk).min(job.tasks.len());
-        for t in first..last {
-            let task = &job.tasks[t];
-            if task.done {
-                record.push_done(t as u32);
-            }
-            for (machine, attempt) in &task.at {
-                let list = record.places.entry(machine.to_string()).or_default();
-                list.push((t as u32, *attempt));
-                let key = (job.id.clone(), t as u32, *attempt);
-                let place = self.machines.get(machine).and_then(|m| m.places.get(&key));
-                if place.is_some_and(|p| p.stage == Stage::Planned) {
-                    planned.push((machine.clone(), key));
+        let mut jobs: BTreeSet<&Name> = BTreeSet::new();
+        for entry in &self.slabs[slab].entries {
+            let ((id, task, attempt), machine) = entry;
+            let place = self
+                .machines
+                .get(machine)
+                .and_then(|m| m.places.get(&entry.0));
+            if place.is_some_and(|p| p.stage == Stage::Planned) {
+                if !jobs.contains(id) && jobs.len() >= most_jobs {
+                    continue;
                 }
+                jobs.insert(id);
+                planned.push(entry.clone());
             }
+            let machines = record.places.entry(id.to_string()).or_default();
+            let places = machines.entry(machine.to_string()).or_default();
+            places.push((*task, *attempt));
+        }
+        (record, (slab, planned))
+    }
+
+    /// Records places: first those that launches wait for, then what is long out of date.
+    fn write_slabs(&mut self, now: Time) -> bool {
+        if self.budget.level(now) < 1.0 {
+            return false;
+        }
+        let scarce = self.scarce(now);
+        let lag = self.record_lag();
+        let idle = |i: &usize| !self.slabs[*i].in_flight;
+        let stale = |s: &Slab| !s.in_flight && s.dirty.is_some_and(|t| now - t > lag);
+        let urgent = self.urgent.iter().copied().find(idle);
+        let late = || self.slabs.iter().position(stale).filter(|_| !scarce);
+        let Some(i) = urgent.or_else(late) else {
+            return false;
+        };
+        let most_jobs = CONDITIONS_A_CHANGE * self.settings.cluster.state.txn_ops - 2;
+        let (record, sent) = self.slab_record(i, most_jobs);
+        let value = serde_json::to_value(&record).expect("plain data");
+        let mut txn = self
+            .begin()
+            .version(place_key(i), self.slabs[i].version)
+            .put(place_key(i), value);
+        let jobs: BTreeSet<&Name> = sent.1.iter().map(|(key, _)| &key.0).collect();
+        for id in jobs {
+            txn = txn.absent(end_key(id));
+        }
+        self.budget.take(now, 1.0);
+        self.slabs[i].in_flight = true;
+        self.slabs[i].dirty = None;
+        self.urgent.remove(&i);
+        self.submit_write(
+            txn,
+            InFlight {
+                slabs: vec![sent],
+                ..InFlight::default()
+            },
+        );
+        true
+    }
+
+    fn record_lag(&self) -> f64 {
+        self.settings.cluster.workers.lease_s * RECORD_LAG
+    }
+
+    /// Whether the budget is needed for what is urgent.
+    fn scarce(&mut self, now: Time) -> bool {
+        self.budget.level(now) < self.budget.burst() / 2.0
+    }
+
+    fn chunk_record(&self, job: &Job, chunk: usize) -> RunRecord {
+        let mut record = RunRecord::default();
+        let first = chunk * self.tasks_a_chunk;
+        let last = (first + self.tasks_a_chunk).min(job.tasks.len());
+        for t in (first..last).filter(|t| job.tasks[*t].done) {
+            record.push_done(t as u32);
         }
-        (record, planned)
+        record
     }
 
-    /// Whether a chunk is to be written at all.
-    fn chunk_is_due(&self, id: &Name, chunk: usize) -> bool {
+    /// Whether a chunk is to be written at all; a job that is over is closed instead.
+    fn chunk_is_due(&self, id: &Name, chunk: usize, since: Time) -> bool {
         let job = self.jobs.get(id);
-        // A job that is over is closed instead.
         job.is_some_and(|j| {
-            !j.cancelled && !j.end_in_flight && !j.is_over() && j.chunks[chunk].dirty.is_some()
+            let open = !j.cancelled && !j.end_in_flight && !j.is_over();
+            open && j.chunks[chunk].dirty == Some(since)
         })
     }
 
-    /// The next records to write: those that launches wait for, by priority and arrival, then
-    /// those that have been out of date for long enough.
-    fn due_chunks(&mut self, now: Time, most: usize) -> Vec<(Name, usize)> {
-        let lag = self.settings.cluster.workers.report_s * RECORD_LAG;
-        let mut due = Vec::new();
-        let mut settled = Vec::new();
-        for entry in &self.urgent {
-            let (_, id, i) = entry;
-            if due.len() >= most {
-                break;
-            }
-            if !self.chunk_is_due(id, *i) {
-                settled.push(entry.clone());
-            } else if !self.jobs[id].chunks[*i].in_flight {
-                due.push((id.clone(), *i));
-            }
-        }
-        for entry in settled {
-            self.urgent.remove(&entry);
-        }
-        // While the budget is short, only what a launch waits for is written, up to a bound.
-        let scarce = self.budget.level(now) < self.budget.burst() / 2.0;
-        let lag = if scarce { SCARCE * lag } else { lag };
+    /// Records what has completed, once that has been out of date for long enough.
+    fn write_chunks(&mut self, now: Time) -> bool {
+        let lag = self.record_lag() * if self.scarce(now) { SCARCE } else { 1.0 };
+        let room = self.budget.level(now) as usize;
+        let most = self.settings.cluster.state.txn_ops.min(room);
+        let mut txn = self.begin();
+        let mut chunks: Vec<(Name, usize)> = Vec::new();
         let mut later = Vec::new();
-        while due.len() < most {
+        let mut bytes = 0;
+        while chunks.len() < most && bytes < TXN_BYTES {
             let Some((since, id, i)) = self.lagging.front().cloned() else {
                 break;
             };
@@ -150,68 +203,32 @@
                 break;
             }
             self.lagging.pop_front();
-            if !self.chunk_is_due(&id, i) || self.jobs[&id].chunks[i].dirty != Some(since) {
+            if !self.chunk_is_due(&id, i, since) {
                 continue;
             }
-            match self.jobs[&id].chunks[i].in_flight {
-                true => later.push((since, id, i)),
-                false if due.iter().any(|(d, n)| *d == id && *n == i) => {}
-                false => due.push((id, i)),
-            }
-        }
-        for entry in later.into_iter().rev() {
-            self.lagging.push_front(entry);
-        }
-        due
-    }
-
-    pub(super) fn write_chunks(&mut self, now: Time) -> bool {
-        let room = self.budget.level(now) as usize;
-        let most = self.settings.cluster.state.txn_ops.min(room);
-        if most == 0 || (self.urgent.is_empty() && self.lagging.is_empty()) {
-            return false;
-        }
-        let mut txn = self.begin();
-        let mut chunks: Vec<SentChunk> = Vec::new();
-        let mut bytes = 0;
-        let mut left = Vec::new();
-        for (id, i) in self.due_chunks(now, most) {
             let job = &self.jobs[&id];
-            let (record, planned) = self.chunk_record(job, i);
-            let value = serde_json::to_value(&record).expect("plain data");
-            let size = value.to_string().len();
-            if bytes + size > TXN_BYTES && !chunks.is_empty() {
-                left.push((id, i));
+            if job.chunks[i].in_flight {
+                later.push((since, id, i));
                 continue;
             }
-            bytes += size;
-            let version = job.chunks[i].version;
+            let value = serde_json::to_value(self.chunk_record(job, i)).expect("plain data");
+            bytes += value.to_string().len();
             txn = txn
-                .version(run_key(&id, i), version)
+                .version(run_key(&id, i), job.chunks[i].version)
                 .put(run_key(&id, i), value);
-            if !planned.is_empty() {
-                txn = txn.absent(end_key(&id));
-            }
-            chunks.push((id, i, planned));
+            chunks.push((id, i));
         }
-        for (id, i) in left {
-            let chunk = &self.jobs[&id].chunks[i];
-            if let (Some(since), false) = (chunk.dirty, chunk.urgent) {
-                self.lagging.push_front((since, id, i));
-            }
+        for entry in later.into_iter().rev() {
+            self.lagging.push_front(entry);
         }
-        if chunks.is_empty() || !self.budget.take(now, chunks.len() as f64) {
+        if chunks.is_empty() {
             return false;
         }
-        for (id, i, _) in &chunks {
-            let job = self.jobs.get_mut(id).expect("known job");
-            let turn = (std::cmp::Reverse(job.spec.priority), job.seq);
-            let chunk = &mut job.chunks[*i];
+        self.budget.take(now, chunks.len() as f64);
+        for (id, i) in &chunks {
+            let chunk = &mut self.jobs.get_mut(id).expect("known job").chunks[*i];
             chunk.in_flight = true;
             chunk.dirty = None;
-            if std::mem::take(&mut chunk.urgent) {
-                self.urgent.remove(&(turn, id.clone(), *i));
-            }
         }
         self.submit_write(
             txn,
@@ -257,26 +274,18 @@
             Written::Applied(revision) => Some(*revision),
             _ => None,
         };
-        for (id, i, planned) in what.chunks {
+        for (i, planned) in what.slabs {
+            self.slab_written(i, planned, applied, now);
+        }
+        for (id, i) in what.chunks {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             let chunk = &mut job.chunks[i];
             chunk.in_flight = false;
             match applied {
-                Some(revision) => {
-                    chunk.version = revision;
-                    let cancelled = job.cancelled;
-                    for (machine, key) in planned {
-                        let m = self.machines.get_mut(&machine);
-                        let place = m.and_then(|m| m.places.get_mut(&key));
-                        if let Some(p) = place.filter(|p| p.stage == Stage::Planned && !cancelled) {
-                            p.stage = Stage::Started;
-                            self.to_order.insert(machine);
-                        }
-                    }
-                }
-                None => self.touch(&id, (i * self.tasks_a_chunk) as u32, true, now),
+                Some(revision) => chunk.version = revision,
+                None => self.touch(&id, (i * self.tasks_a_chunk) as u32, now),
             }
         }
         if applied.is_none() {
@@ -298,6 +307,40 @@
         }
     }
 
+    /// The places that a slab has made known may be launched now.
+    fn slab_written(
+        &mut self,
+        slab: usize,
+        planned: Vec<(PlaceKey, Name)>,
+        applied: Option<u64>,
+        now: Time,
+    ) {
+        self.slabs[slab].in_flight = false;
+        let Some(revision) = applied else {
+            self.slabs[slab].dirty.get_or_insert(now);
+            self.urgent.insert(slab);
+            return;
+        };
+        self.slabs[slab].version = revision;
+        for (key, machine) in planned {
+            let cancelled = self.jobs.get(&key.0).is_none_or(|j| j.cancelled);
+            let m = self.machines.get_mut(&machine);
+            let place = m.and_then(|m| m.places.get_mut(&key));
+            if let Some(p) = place.filter(|p| p.stage == Stage::Planned && !cancelled) {
+                p.stage = Stage::Started;
+                self.to_order.insert(machine);
+            }
+        }
+        // Those that the last writing had no conditions for.
+        let waits = self.slabs[slab].entries.iter().any(|(key, machine)| {
+            let place = self.machines.get(machine).and_then(|m| m.places.get(key));
+            place.is_some_and(|p| p.stage == Stage::Planned)
+        });
+        if waits {
+            self.urgent.insert(slab);
+        }
+    }
+
     /// Its end is recorded, and nothing of it is left.
     pub(super) fn job_ended(&mut self, id: &Name, now: Time) {
         let Some(job) = self.jobs.remove(id) else {
@@ -334,6 +377,8 @@
                     warn!("leadership is lost: the record has version {version}");
                     self.deposed = true;
                 }
+            } else if let Some(slab) = parse_place_key(&key).and_then(|i| self.slabs.get_mut(i)) {
+                slab.version = version;
             } else if let Some((id, i)) = parse_run_key(&key) {
                 let chunk = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(i));
                 if let Some(chunk) = chunk {
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -4,7 +4,7 @@
 use super::gateway::Task;
 use super::workers::{CloudCall, Pool};
 use crate::bookkeeping::index::EndIndex;
-use crate::bookkeeping::records::{OpenRecord, OPEN, RUN};
+use crate::bookkeeping::records::{OpenRecord, OPEN, PLACE, RUN};
 use crate::bookkeeping::store::{Store, Unavailable};
 use crate::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use crate::coordination::election::{News, Wish};
@@ -416,6 +416,7 @@
                 let records = Records {
                     open,
                     run: store.list(RUN)?.0,
+                    places: store.list(PLACE)?.0,
                 };
                 Ok((records, revision))
             };
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -3,12 +3,12 @@
 use super::controller::Message;
 use super::gateway::SharedTypes;
 use super::spawn;
-use crate::bookkeeping::records::TYPES;
+use crate::bookkeeping::records::{LEADER, TYPES};
 use crate::bookkeeping::store::{Outcome, Store};
 use crate::coordination::core::{Ordered, Written};
 use crate::coordination::state::Name;
 use crate::protocol::cloud::*;
-use crate::protocol::store::Transaction;
+use crate::protocol::store::{Change, Item, Transaction};
 use crate::protocol::worker::{Orders, Report};
 use crate::settings::Settings;
 use crate::transport::client::{Answer, Client};
@@ -112,19 +112,34 @@
         let result = match store.commit(&transaction) {
             Outcome::Applied(revision) => Written::Applied(revision),
             Outcome::Refused | Outcome::NoLease => Written::Refused,
-            Outcome::Conflict(_) | Outcome::Unknown => Written::Reread(reread(store, &transaction)),
+            Outcome::Conflict(failed) => Written::Reread(reread(store, &failed)),
+            Outcome::Unknown => Written::Reread(reread(store, &written_keys(&transaction))),
         };
         let _ = inbox.send(Message::Written(id, result));
     }
 }
 
-/// Reads what the keys of a transaction's conditions hold, for as long as that takes.
-fn reread(store: &Store, txn: &Transaction) -> Vec<(String, Option<crate::protocol::store::Item>)> {
+/// The keys by which it shows whether a transaction was applied: those that it changes, and the
+/// leader's record, on which it depends.
+fn written_keys(txn: &Transaction) -> Vec<String> {
+    let changed = |key: &String| {
+        txn.changes.iter().any(|change| match change {
+            Change::Put { key: k, .. } | Change::Delete { key: k } => k == key,
+        })
+    };
+    let keys = txn.conditions.iter().map(|c| &c.key);
+    keys.filter(|k| *k == LEADER || changed(k))
+        .cloned()
+        .collect()
+}
+
+/// Reads what keys hold, for as long as that takes.
+fn reread(store: &Store, keys: &[String]) -> Vec<(String, Option<Item>)> {
     let mut items = Vec::new();
-    for condition in &txn.conditions {
+    for key in keys {
         loop {
-            match store.get(&condition.key) {
-                Ok(item) => break items.push((condition.key.clone(), item)),
+            match store.get(key) {
+                Ok(item) => break items.push((key.clone(), item)),
                 Err(_) => std::thread::sleep(Duration::from_millis(200)),
             }
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -42,6 +42,9 @@
     pub class: Option<String>,
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// For an aim about deadlines: how many times as late a job may be.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -295,6 +295,7 @@
         let records = Records {
             open: self.store.under(OPEN),
             run: self.store.under(RUN),
+            places: self.store.under(PLACE),
         };
         core.recover(records, 0, self.now);
         self.core = core;
