--- a/src/coordination/deadlines.rs
+++ b/src/coordination/deadlines.rs
@@ -17,23 +17,12 @@
     pub least_s: f64,
 }
 
-/// Work in a heap: the largest on top.
-#[derive(PartialEq, PartialOrd)]
-struct Load(f64, usize);
-
-impl Eq for Load {}
-
-impl Ord for Load {
-    fn cmp(&self, other: &Load) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
-    }
-}
-
 /// Of jobs in the order of their deadlines, which can be met on so many processors, of which
 /// `taken` processor seconds are spoken for.
 pub fn met(jobs: &[Due], now: Time, cpus: f64, taken: f64) -> Vec<bool> {
     let mut met = vec![false; jobs.len()];
-    let mut kept: BinaryHeap<Load> = BinaryHeap::new();
+    // The largest on top, to a thousandth of a processor second.
+    let mut kept: BinaryHeap<(u64, usize)> = BinaryHeap::new();
     let mut before = taken;
     let rate = cpus.max(1.0);
     for (i, job) in jobs.iter().enumerate() {
@@ -41,16 +30,15 @@
             continue;
         }
         met[i] = true;
-        kept.push(Load(job.work, i));
+        kept.push(((1000.0 * job.work) as u64, i));
         let alone = job.least_s.max(job.work / rate);
         before += job.work;
         let end = now + (before - job.work) / rate + alone;
         if end > job.at {
-            let Some(Load(work, largest)) = kept.pop() else {
-                continue;
-            };
-            met[largest] = false;
-            before -= work;
+            if let Some((_, largest)) = kept.pop() {
+                met[largest] = false;
+                before -= jobs[largest].work;
+            }
         }
     }
     met
