Idle machines go back unless the free room is needed

Any job that waited for a moment kept every idle machine, and among hundreds of jobs one always waits. Now free processors beyond what waits decide.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -14,6 +14,8 @@
 const WINDOW_BOOTS: f64 = 4.0;
 /// Seconds of arrivals that are remembered at the most.
 const REMEMBERED: usize = 600;
+/// Free processors that are kept for each that waiting tasks take: they do not fit everywhere.
+const ROOM_FOR_WAITING: f64 = 1.25;
 /// Machines whose replicas may be moved in one tick, as a share of those that are up, and those
 /// that are looked at for it.
 const MOVED_SHARE: f64 = 0.02;
@@ -474,41 +476,47 @@
         if idle.is_empty() {
             return;
         }
-        // A job that waits for its team's limit needs no machine.
-        let waiting: Vec<&Job> = self
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled && self.wanted(j, j.unplaced_count()) > 0)
-            .collect();
-        let expected = self.fleet.expected(self, now);
-        let slots = |need: &Room| -> u32 {
-            self.machines
-                .values()
-                .filter(|m| !m.spot && m.takes_tasks(now, silence_s, self.first_token))
-                .map(|m| self.free_room(m).slots(need))
-                .sum()
-        };
-        let mut spare: Vec<(Room, i64)> = expected
-            .iter()
-            .map(|(need, count, _)| (*need, i64::from(slots(need)) - i64::from(*count)))
-            .collect();
+        // Free processors beyond what waits or is expected: on all machines, and on those that
+        // the cloud does not take back. With many jobs there is always one that waits for a
+        // moment, so that alone keeps no machine.
+        let (mut spare, mut steady) = (0.0, 0.0);
+        for m in self.machines.values() {
+            if m.takes_tasks(now, silence_s, self.first_token) {
+                let free = self.free_room(m).cpus;
+                spare += free;
+                steady += if m.spot { 0.0 } else { free };
+            }
+        }
+        for (need, count, _) in self.fleet.expected(self, now) {
+            spare -= need.cpus * f64::from(count);
+            steady -= need.cpus * f64::from(count);
+        }
+        // Jobs that may only use some machines keep all of those.
+        let mut choosy: Vec<&Job> = Vec::new();
+        for job in self.jobs.values().filter(|j| !j.cancelled) {
+            // One that waits for its team's limit needs no machine.
+            let wanted = f64::from(self.wanted(job, job.unplaced_count()));
+            if wanted <= 0.0 {
+                continue;
+            }
+            spare -= ROOM_FOR_WAITING * wanted * job.spec.cpus;
+            if !job.spec.spot {
+                steady -= ROOM_FOR_WAITING * wanted * job.spec.cpus;
+            }
+            let whole = job.spec.gpus <= 0.0 && job.spec.types.is_none() && job.spec.zone.is_none();
+            if !whole {
+                choosy.push(job);
+            }
+        }
         // The dearest first.
         idle.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut returns = Vec::new();
         for (_, m) in idle {
-            let room = self.free_room(m);
-            let missed = |need: &Room| {
-                if m.spot {
-                    0
-                } else {
-                    i64::from(room.slots(need))
-                }
-            };
-            let suffices = spare.iter().all(|(need, n)| *n >= missed(need));
-            if suffices && !waiting.iter().any(|j| may_use(j, m)) {
-                for (need, n) in &mut spare {
-                    *n -= missed(need);
-                }
+            let cpus = self.free_room(m).cpus;
+            let enough = spare >= cpus && (m.spot || steady >= cpus);
+            if enough && !choosy.iter().any(|j| may_use(j, m)) {
+                spare -= cpus;
+                steady -= if m.spot { 0.0 } else { cpus };
                 returns.push(m.name.clone());
             }
         }
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -4,11 +4,25 @@
 use super::state::*;
 use super::Time;
 use crate::protocol::worker::{Cause, Command, Orders};
+use std::collections::BTreeMap;
 use tracing::debug;
 
 /// Exited tasks that may stay on a machine, on average, until a new token lets them be forgotten.
 const EXITED_A_MACHINE: usize = 4;
 
+/// Whether a task's completion is known here only: its worker must not forget it yet.
+pub(super) fn unrecorded(
+    jobs: &BTreeMap<Name, Job>,
+    id: &Name,
+    task: u32,
+    tasks_a_chunk: usize,
+) -> bool {
+    jobs.get(id).is_some_and(|j| {
+        let chunk = j.chunks.get(task as usize / tasks_a_chunk);
+        !j.ended && chunk.is_some_and(|c| c.dirty.is_some() || c.in_flight)
+    })
+}
+
 impl Core {
     /// What a worker should be told now: in the answer to its report `reply`, or directly. Only
     /// what was never sent goes directly, and `forget` never does: it must not overtake a launch.
@@ -19,6 +33,7 @@
         let (token, session_token) = (self.token, m.token);
         // A leader in doubt keeps tasks alive, but starts nothing.
         let starts = now < self.valid_until;
+        let chunk = self.tasks_a_chunk;
         let mut commands = Vec::new();
         for (key, place) in m.places.iter_mut() {
             if commands.len() >= MOST_COMMANDS {
@@ -54,11 +69,7 @@
                     // A launch that went straight to the worker may come again, and after a
                     // `forget` it would start the task anew.
                     let safe = place.orders_token.is_none_or(|t| session_token > t);
-                    let kept = cause == Cause::Done
-                        && self.jobs.get(&key.0).is_some_and(|j| {
-                            let chunk = &j.chunks[key.1 as usize / self.tasks_a_chunk];
-                            chunk.dirty.is_some() || chunk.in_flight
-                        });
+                    let kept = cause == Cause::Done && unrecorded(&self.jobs, &key.0, key.1, chunk);
                     if reply.is_some() && safe && !kept {
                         commands.push(Command::Forget { task, attempt });
                     }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -1,6 +1,7 @@
 //! What workers report, and how they are answered.
 
 use super::core::*;
+use super::orders::unrecorded;
 use super::state::*;
 use super::Time;
 use crate::protocol::job::{parse_task, Kind};
@@ -112,14 +113,17 @@
         let (spec, cancelled) = (job.spec.clone(), job.cancelled);
         let m = self.machines.get_mut(name).expect("known machine");
         if !m.places.contains_key(key) {
-            if t.state == TaskState::Exited && t.cause != Some(Cause::Done) {
-                // Nothing is known of it and it is over: it is forgotten with the next answer.
+            if t.state == TaskState::Exited {
+                // Nothing is known of it and it is over: it is forgotten once that is recorded.
+                if t.cause == Some(Cause::Done) {
+                    self.task_done(&key.0, key.1, now);
+                }
                 return;
             }
             let taken = job.tasks[key.1 as usize].done || !job.tasks[key.1 as usize].at.is_empty();
             warn!("{name}: shows {}/{} that was not expected", key.0, key.1);
             self.add_place(&key.0, key.1, name, key.2, Stage::Started, now);
-            if (taken || cancelled) && t.state != TaskState::Exited {
+            if taken || cancelled {
                 let m = self.machines.get_mut(name).expect("known machine");
                 let place = m.places.get_mut(key).expect("just added");
                 place.stage = Stage::Seen(t.state);
@@ -217,7 +221,10 @@
                 if t.state == TaskState::Exited {
                     // Only an attempt of an earlier token can be forgotten safely: a late copy of
                     // its launch would start it anew.
-                    if (attempt >> 20) < self.first_token || r.token > self.first_token {
+                    let earlier = (attempt >> 20) < self.first_token;
+                    let recorded =
+                        key.is_none_or(|k| !unrecorded(&self.jobs, &k.0, k.1, self.tasks_a_chunk));
+                    if recorded && (earlier || r.token > self.first_token) {
                         commands.push(Command::Forget { task, attempt });
                     }
                 } else {
