Batches move to spot machines; services keep together; machines fill in their order

Now spot room is rented for half of what batches hold on ordinary machines, replicas go where others are, and several half-empty machines empty at a time.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -115,6 +115,7 @@
     passed_at: Time,
     next_pass: Time,
     chores_at: Time,
+    explained: Time,
     /// Machines and places that passes have looked at so far.
     pub(super) looks: Cell<u64>,
     pub(super) in_flight: BTreeMap<u64, InFlight>,
@@ -148,6 +149,8 @@
 pub(super) const DRIFT: f64 = 1.001;
 /// Seconds between passes while nothing is known to have changed, and between checks of leases.
 const PASS_PAUSE_S: f64 = 0.5;
+/// Seconds between summaries in the log.
+const EXPLAIN_S: f64 = 5.0;
 /// How many times as long as a pass took the next one waits.
 const PASS_PACE: f64 = 5.0;
 
@@ -177,6 +180,7 @@
             passed_at: 0.0,
             next_pass: 0.0,
             chores_at: 0.0,
+            explained: 0.0,
             looks: Cell::new(0),
             in_flight: BTreeMap::new(),
             stale_keys: BTreeSet::new(),
@@ -261,6 +265,10 @@
         if self.leads(now) {
             self.check_machines(now);
             self.manage_fleet(now);
+            if now - self.explained >= EXPLAIN_S {
+                self.explained = now;
+                self.explain(now);
+            }
         }
         let (cluster, lease_s) = (
             &self.settings.cluster,
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -16,10 +16,12 @@
 const REMEMBERED: usize = 600;
 /// Free processors that are kept for each that waiting tasks take: they do not fit everywhere.
 const ROOM_FOR_WAITING: f64 = 1.25;
+/// The share of the batches on ordinary machines for which cheaper room is rented.
+const MOVED_TO_SPOT: f64 = 0.5;
 /// Machines whose replicas may be moved in one tick, as a share of those that are up, and those
 /// that are looked at for it.
-const MOVED_SHARE: f64 = 0.02;
-const MOVE_CANDIDATES: usize = 8;
+const MOVED_SHARE: f64 = 0.05;
+const MOVE_CANDIDATES: usize = 16;
 /// What a machine costs at least, in seconds of its price.
 const LEAST_CHARGE_S: f64 = 60.0;
 /// A start counts once the task has run for this long.
@@ -110,8 +112,9 @@
 struct Demand {
     spec: Arc<JobSpec>,
     count: u32,
-    /// Whether the cloud may take the machine back.
+    /// Whether the cloud may take the machine back, and whether only such a machine will do.
     spot: bool,
+    spot_only: bool,
 }
 
 /// Demands of the same shape and with the same choice of machines as one.
@@ -120,7 +123,7 @@
     for demand in demands {
         let same = merged.iter_mut().find(|m| {
             let (a, b) = (&m.spec, &demand.spec);
-            m.spot == demand.spot
+            (m.spot, m.spot_only) == (demand.spot, demand.spot_only)
                 && Room::of(a) == Room::of(b)
                 && (&a.types, &a.zone) == (&b.types, &b.zone)
         });
@@ -153,7 +156,6 @@
         for demand in merged(self.demands(now)) {
             self.rent_for(&demand);
         }
-        self.explain_stalls(now);
     }
 
     /// The time in which a job's remaining work should be done.
@@ -211,6 +213,7 @@
                     spec: job.spec.clone(),
                     count: left,
                     spot: job.spec.spot,
+                    spot_only: false,
                 });
             }
         }
@@ -232,10 +235,12 @@
                     spec: a.spec.clone(),
                     count: left,
                     spot: false,
+                    spot_only: false,
                 });
             }
         }
         demands.extend(self.batch_demand(now));
+        demands.extend(self.cheaper_demand());
         demands
     }
 
@@ -305,6 +310,46 @@
             spec: job.spec.clone(),
             count,
             spot: job.spec.spot && self.settings.policy.spot,
+            spot_only: false,
+        })
+    }
+
+    /// Batches that run on ordinary machines, though they may use those that the cloud takes back:
+    /// these cost a fraction, so room for them is rented, and the ordinary ones empty. What a boot
+    /// costs must come in again, so only as much is moved as surely goes on.
+    fn cheaper_demand(&self) -> Option<Demand> {
+        if !self.settings.policy.spot {
+            return None;
+        }
+        let mut held = 0.0;
+        let mut spec: Option<&Arc<JobSpec>> = None;
+        for m in self.machines.values() {
+            let free = self.free_room(m).cpus;
+            match (m.spot, m.phase) {
+                (true, Phase::Returning) => {}
+                (true, _) => held -= free,
+                (false, _) => {
+                    for (key, p) in m.live().filter(|(_, p)| p.load.run_s.is_some()) {
+                        let job = self.jobs.get(&key.0).filter(|j| j.spec.spot);
+                        if let Some(job) = job {
+                            held += p.load.need.cpus;
+                            spec = spec.or(Some(&job.spec));
+                        }
+                    }
+                }
+            }
+        }
+        for r in self.fleet.renting.values().filter(|r| r.spot) {
+            let cpus = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
+            held -= cpus * f64::from(r.count);
+        }
+        let spec = spec?;
+        let count = (MOVED_TO_SPOT * held / spec.cpus.max(1e-3)).floor();
+        (count >= 1.0).then(|| Demand {
+            spec: spec.clone(),
+            count: count as u32,
+            spot: true,
+            spot_only: true,
         })
     }
 
@@ -346,7 +391,7 @@
                     .filter(|z| spec.zone.as_ref().is_none_or(|s| s == *z))
                 {
                     for spot in [true, false] {
-                        if spot && !demand.spot {
+                        if spot && !demand.spot || !spot && demand.spot_only {
                             continue;
                         }
                         let offer = (t.name.as_str().into(), zone.as_str().into(), spot);
@@ -558,26 +603,32 @@
         candidates.sort_by(|a, b| a.used().cpus.total_cmp(&b.used().cpus));
         // The fullest others come first: what they take leaves the emptier ones to follow.
         steady.sort_by(|a, b| self.free_room(a).cpus.total_cmp(&self.free_room(b).cpus));
-        let movable = candidates
-            .into_iter()
-            .take(MOVE_CANDIDATES)
-            .find(|m| self.fits_elsewhere(m, &steady, now));
-        let Some(m) = movable else {
-            return;
-        };
-        let (name, keys): (Name, Vec<PlaceKey>) = (
-            m.name.clone(),
-            m.live().map(|(key, _)| key.clone()).collect(),
-        );
-        info!(
-            "{name}: its {} replicas move, so that it can be returned",
-            keys.len()
-        );
-        for key in keys {
-            self.stop(&name, &key, 0.0, now);
-        }
-        if let Some(m) = self.machines.get_mut(&name) {
-            m.draining = true;
+        let mut taken: HashMap<usize, Room> = HashMap::new();
+        let mut leaving: Vec<(Name, Vec<PlaceKey>)> = Vec::new();
+        for m in candidates.into_iter().take(MOVE_CANDIDATES) {
+            if moving + leaving.len() >= most {
+                break;
+            }
+            // None goes to a machine that is to empty itself.
+            let others = |i: usize| {
+                let name = &steady[i].name;
+                *name != m.name && leaving.iter().all(|(l, _)| l != name)
+            };
+            if let Some(more) = self.fits_elsewhere(m, &steady, &others, &taken, now) {
+                taken = more;
+                let keys = m.live().map(|(key, _)| key.clone()).collect();
+                leaving.push((m.name.clone(), keys));
+            }
+        }
+        for (name, keys) in leaving {
+            let count = keys.len();
+            info!("{name}: its {count} replicas move, so that it can be returned");
+            for key in keys {
+                self.stop(&name, &key, 0.0, now);
+            }
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.draining = true;
+            }
         }
     }
 
@@ -591,42 +642,42 @@
         })
     }
 
-    /// Whether a machine's replicas, and those that are expected, fit on the others.
-    fn fits_elsewhere(&self, m: &Machine, others: &[&Machine], now: Time) -> bool {
-        let mut taken: HashMap<usize, Room> = HashMap::new();
-        let mut put = |need: &Room, allowed: &dyn Fn(&Machine) -> bool| {
-            let found = (0..others.len()).find(|i| {
-                let mut room = self.free_room(others[*i]);
-                room.take(&taken.get(i).copied().unwrap_or_default());
-                others[*i].name != m.name && room.fits(need) && allowed(others[*i])
-            });
-            if let Some(i) = found {
-                taken.entry(i).or_default().add(need);
-            }
-            found.is_some()
+    /// What others would hold beyond what they do now and what is `taken` already, if a machine's
+    /// replicas moved there: nothing, if they and those that are expected do not fit.
+    fn fits_elsewhere(
+        &self,
+        m: &Machine,
+        steady: &[&Machine],
+        others: &dyn Fn(usize) -> bool,
+        taken: &HashMap<usize, Room>,
+        now: Time,
+    ) -> Option<HashMap<usize, Room>> {
+        let mut taken = taken.clone();
+        let room = |i: usize, taken: &HashMap<usize, Room>| {
+            let mut room = self.free_room(steady[i]);
+            room.take(&taken.get(&i).copied().unwrap_or_default());
+            room
         };
-        let moved = m.live().all(|(key, place)| {
+        for (key, place) in m.live() {
             let job = &self.jobs[&key.0];
             let zoned = job.spec.one_zone || job.spec.spread;
-            put(&place.load.need, &|r| {
-                let same_zone = !zoned || r.zone == m.zone;
-                same_zone && may_use(job, r) && r.images.contains_key(&job.spec.image)
-            })
-        });
+            let takes = |i: &usize| {
+                let r = steady[*i];
+                let allowed = (!zoned || r.zone == m.zone) && may_use(job, r);
+                allowed
+                    && r.images.contains_key(&job.spec.image)
+                    && others(*i)
+                    && room(*i, &taken).fits(&place.load.need)
+            };
+            let i = (0..steady.len()).find(takes)?;
+            taken.entry(i).or_default().add(&place.load.need);
+        }
         let expected = self.fleet.expected(self, now);
-        moved
-            && expected.iter().all(|(need, count, _)| {
-                let free: u32 = others
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, r)| r.name != m.name)
-                    .map(|(i, r)| {
-                        let mut room = self.free_room(r);
-                        room.take(&taken.get(&i).copied().unwrap_or_default());
-                        room.slots(need)
-                    })
-                    .sum();
-                free >= *count
-            })
+        let fit = expected.iter().all(|(need, count, _)| {
+            let free = (0..steady.len()).filter(|i| others(*i));
+            let slots: u32 = free.map(|i| room(i, &taken).slots(need)).sum();
+            slots >= *count
+        });
+        fit.then_some(taken)
     }
 }
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -16,6 +16,10 @@
 
 /// Machines that are probed in one tick.
 const PROBES: usize = 64;
+/// Report intervals without a report after which a machine is asked, and after which it is held to
+/// hang if it did not answer. An interval may be a quarter longer by itself.
+const LATE_REPORTS: f64 = 1.35;
+const SUSPECT_REPORTS: f64 = 1.5;
 
 impl Core {
     pub(super) fn succeeded_on(&mut self, name: &Name, image: &str, now: Time) {
@@ -105,6 +109,7 @@
     /// Looks after machines that are silent, failed or never came up.
     pub(super) fn check_machines(&mut self, now: Time) {
         let silence_s = self.silence_s();
+        let suspect_s = self.settings.cluster.workers.report_s * SUSPECT_REPORTS;
         let leads_since = self.leads_since;
         // One that heeds no answer is as good as silent, though it is heard.
         let quiet_s = |m: &Machine| {
@@ -116,7 +121,9 @@
         let mut silent: Vec<(Name, f64)> = Vec::new();
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             up += 1;
-            if quiet_s(m) > silence_s {
+            // A report is missing, and a command got no answer: it hangs, or is cut off.
+            let suspect = m.unanswered && quiet_s(m) > suspect_s;
+            if quiet_s(m) > silence_s || suspect {
                 silent.push((m.name.clone(), quiet_s(m)));
             }
         }
@@ -162,13 +169,16 @@
         self.probe_machines(now);
     }
 
-    /// Speaks to machines that have not been heard, or that heed no answer: a reply shows that the
-    /// way there is open, and that no older command reaches them any more.
+    /// Speaks to machines that have not been heard, whose report is missing, or that heed no
+    /// answer: a reply shows that the way there is open, and that no older command reaches them
+    /// any more.
     fn probe_machines(&mut self, now: Time) {
+        let late_s = self.settings.cluster.workers.report_s * LATE_REPORTS;
+        let late = |m: &Machine| m.heard.is_none_or(|t| now - t > late_s);
         let names: Vec<Name> = self
             .machines
             .values()
-            .filter(|m| m.phase == Phase::Up && (m.heard.is_none() || m.deaf_since.is_some()))
+            .filter(|m| m.phase == Phase::Up && (late(m) || m.deaf_since.is_some()))
             .filter(|m| !m.order_in_flight && now >= m.no_orders_until && m.endpoint.is_some())
             .map(|m| m.name.clone())
             .take(PROBES)
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -56,6 +56,12 @@
 
 /// Seconds of waiting that a free start is worth against stopping other work.
 const PREEMPTION_PENALTY_S: f64 = 1.0;
+/// Seconds of waiting that are accepted to fill the machines in their order: what comes last then
+/// empties and can be returned.
+const FILL_S: f64 = 2.0;
+/// Seconds of waiting that are accepted to keep services together, so that few machines are left
+/// with a replica each when the batches end.
+const APART_S: f64 = 1.0;
 /// More than any fetch takes.
 const FAILED_PENALTY_S: f64 = 1e6;
 
@@ -206,7 +212,7 @@
                 continue;
             }
             // Among equals the fullest: others can then empty and be returned.
-            let packing = 0.1 * self.free_share(*i);
+            let packing = 0.1 * self.free_share(*i) + self.apart_s(*i);
             let cost = self.delay_s(job, self.machines[*i]) + packing;
             if best.as_ref().is_none_or(|b| cost < b.0) {
                 best = Some((cost, *i, Vec::new()));
@@ -214,7 +220,8 @@
         }
         for i in candidates {
             // Stopping work costs at least this much: most machines need not be looked into.
-            let least = self.delay_s(job, self.machines[i]) + PREEMPTION_PENALTY_S;
+            let delay_s = self.delay_s(job, self.machines[i]) + self.apart_s(i);
+            let least = delay_s + PREEMPTION_PENALTY_S;
             if best.as_ref().is_some_and(|b| b.0 <= least) || self.rooms[i].fits(&need) {
                 continue;
             }
@@ -244,6 +251,13 @@
         Ok(())
     }
 
+    fn apart_s(&self, i: usize) -> f64 {
+        match self.machines[i].holds_services() {
+            true => 0.0,
+            false => APART_S,
+        }
+    }
+
     fn free_share(&self, i: usize) -> f64 {
         let total = self
             .core
@@ -332,7 +346,7 @@
             if !self.room(i).fits(&need) {
                 continue;
             }
-            let cost = self.delay_s(job, self.machines[i]) + self.rank[i];
+            let cost = self.delay_s(job, self.machines[i]) + FILL_S * self.rank[i];
             found.push((cost, i));
         }
         if found.is_empty() && job.spec.types.is_none() && job.spec.zone.is_none() {
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -7,6 +7,7 @@
 use super::state::*;
 use super::Time;
 use crate::protocol::job::{Kind, Priority};
+use crate::protocol::worker::TaskState;
 use std::cmp::{Ordering, Reverse};
 use std::collections::HashMap;
 use tracing::info;
@@ -248,14 +249,30 @@
         within
     }
 
-    /// Tells why jobs stall: for people who read the log.
-    pub(super) fn explain_stalls(&self, now: Time) {
+    /// What the machines are used for, and why jobs stall: for people who read the log.
+    pub(super) fn explain(&self, now: Time) {
         let silence_s = self.silence_s();
-        let up = self
-            .machines
-            .values()
-            .filter(|m| m.takes_tasks(now, silence_s, self.first_token))
-            .count();
+        let (mut up, mut cpus, mut free, mut booting) = (0, 0.0, 0.0, 0);
+        let (mut planned, mut fetching, mut running) = (0, 0, 0);
+        for m in self.machines.values() {
+            booting += usize::from(m.phase == Phase::Booting);
+            if m.takes_tasks(now, silence_s, self.first_token) {
+                up += 1;
+                cpus += self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
+                free += self.free_room(m).cpus;
+            }
+            for (_, place) in m.live() {
+                match place.stage {
+                    Stage::Planned | Stage::Started => planned += 1,
+                    Stage::Seen(TaskState::Running) => running += 1,
+                    _ => fetching += 1,
+                }
+            }
+        }
+        info!(
+            "{up} machines take tasks, {free:.0} of their {cpus:.0} CPUs are free; {booting} boot; \
+             tasks: {planned} to start, {fetching} fetch or end, {running} run"
+        );
         let waiting: u32 = self
             .jobs
             .values()
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -77,6 +77,7 @@
         m.token = m.token.max(r.token);
         m.heard = Some(now);
         m.no_orders_until = 0.0;
+        m.unanswered = false;
         if m.endpoint.as_deref() != Some(r.endpoint.as_str()) {
             m.endpoint = Some(r.endpoint.clone());
         }
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -319,6 +319,7 @@
     pub places: BTreeMap<PlaceKey, Place>,
     /// What its places take, until one changes.
     used: Cell<Option<Room>>,
+    services: Cell<usize>,
     pub images: BTreeMap<String, Time>,
     /// The highest token that was sent to it in this session.
     pub told: u64,
@@ -327,6 +328,8 @@
     pub unheeded: u32,
     pub deaf_since: Option<Time>,
     pub order_in_flight: bool,
+    /// It gave no answer to a command since it was last heard.
+    pub unanswered: bool,
     pub no_orders_until: Time,
     pub idle_since: Time,
     /// Tasks of these jobs failed on it since one last completed there.
@@ -357,11 +360,13 @@
             taken_at: None,
             places: BTreeMap::new(),
             used: Cell::new(None),
+            services: Cell::new(0),
             images: BTreeMap::new(),
             told: 0,
             unheeded: 0,
             deaf_since: None,
             order_in_flight: false,
+            unanswered: false,
             no_orders_until: 0.0,
             idle_since: now,
             failures: BTreeSet::new(),
@@ -397,6 +402,8 @@
         if let Some(used) = self.used.get() {
             return used;
         }
+        let services = self.live().filter(|(_, p)| p.load.run_s.is_none());
+        self.services.set(services.count());
         let mut used = Room::default();
         for (_, place) in self.live().filter(|(_, p)| !p.leaves_at_once()) {
             used.add(&place.load.need);
@@ -405,6 +412,11 @@
         used
     }
 
+    pub fn holds_services(&self) -> bool {
+        self.used();
+        self.services.get() > 0
+    }
+
     /// To be called whenever a place has changed.
     pub fn places_changed(&self) {
         self.used.set(None);
