--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -16,6 +16,8 @@
 const REMEMBERED: usize = 600;
 /// Free processors that are kept for each that waiting tasks take: they do not fit everywhere.
 const ROOM_FOR_WAITING: f64 = 1.25;
+/// The share of an earlier leader's machines that must have been heard before any are rented.
+const SETTLED_SHARE: f64 = 0.9;
 /// The share of the batches on ordinary machines for which cheaper room is rented.
 const MOVED_TO_SPOT: f64 = 0.5;
 /// Machines whose replicas may be moved in one tick, as a share of those that are up, and those
@@ -151,6 +153,9 @@
         self.fleet.again = false;
         self.fleet.managed = now;
         self.fleet.refused.retain(|_, until| *until > now);
+        if !self.has_settled(now) {
+            return;
+        }
         self.return_idle(now);
         self.consolidate(now);
         for demand in merged(self.demands(now)) {
@@ -158,6 +163,21 @@
         }
     }
 
+    /// Whether most of the machines that an earlier leader used have been heard, or have had the time
+    /// to report. Until then their room is not known: a new leader that went by what it sees would
+    /// rent all of it anew.
+    fn has_settled(&self, now: Time) -> bool {
+        if now - self.leads_since > self.silence_s() {
+            return true;
+        }
+        let (mut up, mut known) = (0, 0);
+        for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
+            up += 1;
+            known += usize::from(m.heard.is_some() && m.token >= self.first_token);
+        }
+        known as f64 >= SETTLED_SHARE * f64::from(up)
+    }
+
     /// The time in which a job's remaining work should be done.
     fn horizon_s(&self, job: &Job, now: Time) -> f64 {
         let objectives = &self.settings.cluster.objectives;
