Small tests of the new troubles, of scale and of the front's bounds; overdue jobs begin

A job of which nothing has begun for two minutes gets one task before others, whatever its deadline yields to, and a gang at the head reserves room on all machines, as EASY does for parallel jobs. Redirects are a part of coordination now, so that copies of reports can be tested against them.

--- a/src/coordination/backfill.rs
+++ b/src/coordination/backfill.rs
@@ -18,6 +18,8 @@
     pub at: Time,
     /// What is left over on the machine once the head has started.
     pub spare: Room,
+    /// For a gang: it needs room on many machines at once, so all are held for it.
+    pub everywhere: bool,
 }
 
 /// The earliest start of a task that fits nowhere now.
@@ -49,20 +51,53 @@
             machine: m.machine,
             at,
             spare: room,
+            everywhere: false,
         });
     }
     best
 }
 
+/// The earliest start of so many tasks at once, by the predicted ends of what runs.
+pub fn reserve_gang(
+    now: Time,
+    need: &Room,
+    tasks: u32,
+    machines: Vec<Frees>,
+) -> Option<Reservation> {
+    let mut rooms: Vec<Room> = machines.iter().map(|m| m.room).collect();
+    let mut slots: u32 = rooms.iter().map(|r| r.slots(need)).sum();
+    let mut ends: Vec<(Time, usize, Room)> = Vec::new();
+    for (i, m) in machines.iter().enumerate() {
+        ends.extend(m.ends.iter().map(|(end, room)| (*end, i, *room)));
+    }
+    ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut at = now;
+    let mut ends = ends.into_iter();
+    while slots < tasks {
+        let (end, i, room) = ends.next()?;
+        slots -= rooms[i].slots(need);
+        rooms[i].add(&room);
+        slots += rooms[i].slots(need);
+        at = at.max(end);
+    }
+    Some(Reservation {
+        machine: 0,
+        at,
+        spare: Room::default(),
+        everywhere: true,
+    })
+}
+
 impl Reservation {
     /// Whether a task that is started now on `machine`, and ends at `end`, leaves it undelayed.
     pub fn allows(&self, machine: usize, need: &Room, end: Time) -> bool {
-        machine != self.machine || end <= self.at || self.spare.fits(need)
+        let elsewhere = !self.everywhere && machine != self.machine;
+        elsewhere || end <= self.at || self.spare.fits(need)
     }
 
     /// Accounts for a task that was let pass.
     pub fn admit(&mut self, machine: usize, need: &Room, end: Time) {
-        if machine == self.machine && end > self.at {
+        if !self.everywhere && machine == self.machine && end > self.at {
             self.spare.take(need);
         }
     }
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -303,6 +303,10 @@
             .ok()
     }
 
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
     pub fn machine_count(&self) -> usize {
         self.machines.len()
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod predict;
 pub mod queue;
 pub mod recovery;
+pub mod redirects;
 pub mod reports;
 pub mod state;
 pub mod writes;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -38,6 +38,8 @@
     victims: HashSet<PlaceKey>,
     plans: Plans,
     full_for: Vec<Full>,
+    /// Tasks of each job that are planned in this pass.
+    placed: HashMap<Name, usize>,
 }
 
 /// A shape of tasks that has found no room in this pass.
@@ -90,6 +92,7 @@
             victims: HashSet::new(),
             plans: Plans::default(),
             full_for: Vec::new(),
+            placed: HashMap::new(),
         }
     }
 
@@ -190,6 +193,7 @@
         usage.1 += need.gpus;
         let zone = self.machines[i].zone.clone();
         *self.zones_of(job).entry(zone).or_default() += 1;
+        *self.placed.entry(job.id.clone()).or_default() += 1;
         self.plans.places.push(Plan {
             job: job.id.clone(),
             task,
@@ -332,6 +336,7 @@
         job: &Job,
         mut head: Option<&mut Reservation>,
         guaranteed: bool,
+        most: usize,
     ) -> Result<(), Blocked> {
         let need = job.need();
         let mut zone_blocked = false;
@@ -356,7 +361,9 @@
             });
         }
         found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let mut tasks = job.unplaced().peekable();
+        // What this pass has placed of the job already is not waiting any more.
+        let placed = self.placed.get(&job.id).copied().unwrap_or(0);
+        let mut tasks = job.unplaced().skip(placed).take(most).peekable();
         for (_, i) in found {
             let end = self.now + self.fetch_s(job, self.machines[i]) + job.predicted_s;
             while tasks.peek().is_some() && self.room(i).fits(&need) {
@@ -391,6 +398,9 @@
         job: &Job,
         mut head: Option<&mut Reservation>,
     ) -> Result<(), Blocked> {
+        if self.placed.contains_key(&job.id) {
+            return Ok(());
+        }
         let tasks: Vec<u32> = job.unplaced().collect();
         if !self.within_limit(job, tasks.len() as u32) {
             return Err(Blocked::Rule);
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,6 +1,6 @@
 //! One pass over what waits: services first, then the queue in its order with backfilling.
 
-use super::backfill::{reserve, Frees, Reservation};
+use super::backfill::{reserve, reserve_gang, Frees, Reservation};
 use super::core::Core;
 use super::deadlines::{met, Due};
 use super::placement::Pass;
@@ -12,10 +12,6 @@
 use std::collections::HashMap;
 use tracing::info;
 
-/// Nothing of a job may have run for this long before it goes by its arrival again, whatever it
-/// yields to: half of the four minutes within which the users' check wants the largest to begin.
-const START_PATIENCE_S: f64 = 120.0;
-
 /// Why a job's next task was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Blocked {
@@ -98,16 +94,14 @@
 
     /// The turns of the jobs that wait. Jobs without a deadline come in the order of arrival. A
     /// deadline brings a job forward to the latest start that meets it; what can no longer be met
-    /// yields to what can, in tiers of lateness. A job that nothing of has run for long comes in the
-    /// order of its arrival all the same.
+    /// yields to what can, in tiers of lateness.
     pub(super) fn turns(&self, queue: &[&Job], cpus: f64, now: Time) -> Turns {
         let mut turns = Turns::new();
         let mut left: Vec<(&Job, Vec<f64>)> = Vec::new();
         let mut taken = 0.0;
         for job in queue {
-            let overdue = job.first_run.is_none() && now - job.arrived > START_PATIENCE_S;
             match job.spec.deadline_s {
-                Some(_) if !overdue => left.push((job, self.lateness(&job.spec.class))),
+                Some(_) => left.push((job, self.lateness(&job.spec.class))),
                 _ => {
                     turns.insert(job.id.clone(), (0, job.arrived));
                 }
@@ -161,11 +155,27 @@
     fn place_queue(&self, pass: &mut Pass, queue: &[&Job], guaranteed: &dyn Fn(&Job) -> bool) {
         let mut head: Option<Reservation> = None;
         let mut rest = Vec::new();
+        // Whatever a job yields to, it begins: one task of it, the longest waiting first.
+        let mut overdue: Vec<&Job> = queue
+            .iter()
+            .copied()
+            .filter(|j| j.is_overdue(pass.now))
+            .collect();
+        overdue.sort_by_key(|j| j.seq);
+        for job in overdue {
+            let most = match job.spec.kind {
+                Kind::Gang => usize::MAX,
+                _ => 1,
+            };
+            if self.place_job(pass, job, head.as_mut(), true, most) == Err(Blocked::Room) {
+                head = head.or_else(|| self.reservation(pass, job));
+            }
+        }
         for (i, job) in queue.iter().enumerate() {
-            match self.place_job(pass, job, None, guaranteed(job)) {
+            match self.place_job(pass, job, head.as_mut(), guaranteed(job), usize::MAX) {
                 Ok(()) | Err(Blocked::Rule) => {}
                 Err(Blocked::Room) => {
-                    head = self.reservation(pass, job);
+                    head = head.or_else(|| self.reservation(pass, job));
                     rest = queue[i + 1..].to_vec();
                     break;
                 }
@@ -182,17 +192,18 @@
                 .then(a.seq.cmp(&b.seq))
         });
         for job in rest {
-            let _ = self.place_job(pass, job, head.as_mut(), guaranteed(job));
+            let _ = self.place_job(pass, job, head.as_mut(), guaranteed(job), usize::MAX);
         }
     }
 
-    /// Places as many tasks of a job as can be.
+    /// Places as many tasks of a job as can be, and at most so many.
     fn place_job(
         &self,
         pass: &mut Pass,
         job: &Job,
         head: Option<&mut Reservation>,
         guaranteed: bool,
+        most: usize,
     ) -> Result<(), Blocked> {
         if job.spec.kind == Kind::Gang {
             return match job.live {
@@ -200,7 +211,7 @@
                 _ => Ok(()),
             };
         }
-        pass.place_tasks(job, head, guaranteed)
+        pass.place_tasks(job, head, guaranteed, most)
     }
 
     /// Where the head starts, by the predicted ends of what runs.
@@ -217,8 +228,12 @@
                 ends: ends.filter(|(end, _)| end.is_finite()).collect(),
             }
         });
-        let found = reserve(pass.now, &job.need(), machines.collect());
-        if let Some(r) = found {
+        let machines = machines.collect();
+        let found = match job.spec.kind {
+            Kind::Gang => reserve_gang(pass.now, &job.need(), job.unplaced_count(), machines),
+            _ => reserve(pass.now, &job.need(), machines),
+        };
+        if let Some(r) = found.filter(|r| !r.everywhere) {
             let name = &pass.machine(r.machine).name;
             tracing::debug!(
                 "{}: waits, reserved on {name} in {:.0} s",
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -104,6 +104,11 @@
     pub in_flight: bool,
 }
 
+/// The users' check at the end of a day: a class's largest jobs begin within this time; and the
+/// share of it after which a job that has not begun goes before others.
+const BEGINS_WITHIN_S: f64 = 240.0;
+const OVERDUE_SHARE: f64 = 0.5;
+
 pub struct Job {
     pub spec: Arc<JobSpec>,
     pub id: Name,
@@ -177,6 +182,12 @@
         }
     }
 
+    /// Whether nothing of it has begun for so long that it goes before others, whatever it yields to.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        let waits = self.first_run.is_none() && self.live == 0 && self.done == 0;
+        waits && now - self.arrived > BEGINS_WITHIN_S * OVERDUE_SHARE
+    }
+
     /// The processor seconds that are left, by its prediction; what runs is half done on average.
     pub fn work_left(&self) -> f64 {
         let tasks = f64::from(self.unplaced_count()) + f64::from(self.live) / 2.0;
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -9,6 +9,7 @@
 use crate::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use crate::coordination::election::{News, Wish};
 use crate::coordination::recovery::Records;
+use crate::coordination::redirects::Redirects;
 use crate::coordination::state::Name;
 use crate::coordination::Time;
 use crate::protocol::cloud::{ListedMachine, MachineType, LIST_PAGE};
@@ -18,7 +19,6 @@
 use crate::transport::peers::Peers;
 use crate::transport::{Reply, Respond};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -93,15 +93,6 @@
     Leading(Box<Core>),
 }
 
-/// A worker that was sent to the leader.
-#[derive(Default)]
-struct Redirected {
-    times: u32,
-    /// The session and number of its newest report.
-    newest: (u64, u64),
-    at: Time,
-}
-
 /// What the controller speaks to.
 pub struct Links {
     pub store: Store,
@@ -122,8 +113,7 @@
     leader: Option<String>,
     ends: EndIndex,
     types: Vec<MachineType>,
-    /// Workers that were sent to the leader: how often of late, and when.
-    redirected: HashMap<String, Redirected>,
+    redirects: Redirects,
     ticked: Time,
     listed: Time,
     /// When a worker last reported here, and whether peers are being asked because none does.
@@ -135,8 +125,6 @@
 
 /// Report intervals after which the leader reads all open jobs anew.
 const REREAD: u32 = 8;
-/// A worker that comes to a follower so often has not got through to the leader.
-const REDIRECTS: u32 = 3;
 /// The share of the cloud's calls that lists of machines may take.
 const LIST_SHARE: f64 = 0.1;
 /// Messages taken in before the core decides again.
@@ -162,7 +150,7 @@
             leader: None,
             ends: EndIndex::new((bytes / END_BYTES) as usize),
             types: Vec::new(),
-            redirected: HashMap::new(),
+            redirects: Redirects::default(),
             ticked: 0.0,
             listed: 0.0,
             heard: 0.0,
@@ -197,8 +185,8 @@
         let tick = now - self.ticked >= 1.0;
         if tick {
             self.ticked = now;
-            let keep = 8.0 * self.settings.cluster.workers.report_s;
-            self.redirected.retain(|_, r| now - r.at < keep);
+            let report_s = self.settings.cluster.workers.report_s;
+            self.redirects.forget_old(now, report_s);
         }
         let Role::Leading(core) = &mut self.role else {
             return;
@@ -599,19 +587,12 @@
         let Some(leader) = leader.filter(|_| !passed_on) else {
             return respond(Reply::json(421, &Elsewhere { leader: None }));
         };
-        let recent = 4.0 * self.settings.cluster.workers.report_s;
+        let report_s = self.settings.cluster.workers.report_s;
         let order = (report.session, report.seq);
-        let entry = self.redirected.entry(report.machine).or_default();
-        if now - entry.at > recent {
-            entry.times = 0;
-        }
-        // A late copy of a report is no worker that comes back.
-        if entry.times == 0 || order > entry.newest {
-            entry.times += 1;
-            entry.newest = order;
-        }
-        entry.at = now;
-        if entry.times < REDIRECTS {
+        if !self
+            .redirects
+            .comes_back(&report.machine, order, now, report_s)
+        {
             return respond(Reply::json(
                 421,
                 &Elsewhere {
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,217 @@
+//! What must hold at any size: work per event, the state service's budget, and the front's bounds.
+
+mod common;
+
+use common::*;
+use stairstage::coordination::core::{Core, Effect, Written};
+use stairstage::protocol::worker::*;
+use stairstage::transport::front::{self, Bounds};
+use stairstage::transport::runtime::Runtime;
+use stairstage::transport::Reply;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A leader of so many machines, each full of running tasks; how many changes at the state service
+/// it took to get there, and when that was.
+fn full_fleet(machines: u32) -> (Core, Vec<Vec<TaskReport>>, usize, f64) {
+    let mut core = core();
+    for i in 0..machines {
+        report_of(&mut core, &format!("m-{i}"), 1, None, Vec::new(), 0.0);
+    }
+    for i in 0..machines {
+        submit(
+            &mut core,
+            &format!("req-{i}"),
+            "sweep",
+            "normal",
+            None,
+            u64::from(i) + 1,
+        );
+    }
+    let mut tasks: Vec<Vec<TaskReport>> = vec![Vec::new(); machines as usize];
+    let mut changes = 0;
+    let mut now = 0.0;
+    while tasks.iter().map(Vec::len).sum::<usize>() < 4 * machines as usize {
+        now += 0.1;
+        core.step(now);
+        loop {
+            let effects = core.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                match effect {
+                    Effect::Write { id, transaction } => {
+                        changes += transaction.changes.len();
+                        core.written(id, Written::Applied(1000 + id), now);
+                    }
+                    Effect::Orders {
+                        machine, orders, ..
+                    } => {
+                        let i: usize = machine[2..].parse().unwrap();
+                        let started = starts(&orders.commands);
+                        tasks[i].extend(shown(&started, TaskState::Running, None));
+                    }
+                    _ => {}
+                }
+            }
+            core.step(now);
+        }
+        assert!(now < 600.0, "the fleet does not fill");
+    }
+    for (i, tasks) in tasks.iter().enumerate() {
+        report_of(&mut core, &format!("m-{i}"), 2, None, tasks.clone(), now);
+    }
+    core.step(now + 1.0);
+    core.take_effects();
+    (core, tasks, changes, now + 1.0)
+}
+
+#[test]
+fn a_report_without_news_costs_the_same_in_any_fleet() {
+    let looks = |machines: u32| {
+        let (mut core, tasks, _, now) = full_fleet(machines);
+        let before = core.looks();
+        for seq in 0..20 {
+            report_of(&mut core, "m-7", 3 + seq, None, tasks[7].clone(), now);
+            core.step(now);
+        }
+        core.looks() - before
+    };
+    assert_eq!((looks(20), looks(160)), (0, 0));
+}
+
+#[test]
+fn passes_are_paced_by_what_they_take() {
+    let (mut core, mut tasks, _, begun) = full_fleet(20);
+    let mut passes = 0;
+    for i in 0..200u32 {
+        // A task ends at each step, so that there is always something to decide.
+        let now = begun + f64::from(i) / 100.0;
+        let machine = (i % 20) as usize;
+        if let Some(t) = tasks[machine]
+            .iter_mut()
+            .find(|t| t.state == TaskState::Running)
+        {
+            t.state = TaskState::Exited;
+            t.cause = Some(Cause::Done);
+        }
+        let name = format!("m-{machine}");
+        report_of(
+            &mut core,
+            &name,
+            10 + u64::from(i),
+            None,
+            tasks[machine].clone(),
+            now,
+        );
+        if core.step(now) {
+            passes += 1;
+            core.pass_took(0.05, now);
+        }
+    }
+    // Two seconds, and a quarter of a second from one pass to the next.
+    assert!((2..=9).contains(&passes), "{passes}");
+}
+
+#[test]
+fn launches_of_many_jobs_share_the_changes_of_their_records() {
+    let (_, _, changes, _) = full_fleet(120);
+    assert!(changes <= 30, "{changes} changes for 120 jobs");
+}
+
+fn serve(bounds: Bounds) -> SocketAddr {
+    let runtime = Runtime::start().unwrap();
+    let handler = |_call, respond: stairstage::transport::Respond| respond(Reply::json(200, &()));
+    let any = "127.0.0.1:0".parse().unwrap();
+    front::serve(&runtime, any, bounds, Arc::new(handler), Arc::new(|| true)).unwrap()
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        connections: 6,
+        workers: 4,
+        users: 3,
+        idle: Duration::from_secs(600),
+        body: Duration::from_secs(600),
+    }
+}
+
+fn send(stream: &mut TcpStream, method: &str, path: &str, body: &str) -> String {
+    let length = body.len();
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(body.as_bytes()).unwrap();
+    answer(stream)
+}
+
+/// The head of an answer, and what came with it.
+fn answer(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut bytes = [0; 4096];
+    while !text.contains("\r\n\r\n") {
+        match stream.read(&mut bytes) {
+            Ok(0) | Err(_) => break,
+            Ok(n) => text.push_str(&String::from_utf8_lossy(&bytes[..n])),
+        }
+    }
+    text.to_lowercase()
+}
+
+fn refused(text: &str) -> bool {
+    text.starts_with("http/1.1 503") && text.contains("retry-after: 1")
+}
+
+#[test]
+fn workers_and_users_cannot_shut_each_other_out() {
+    let address = serve(bounds());
+    let connect = || TcpStream::connect(address).unwrap();
+    let mut workers: Vec<TcpStream> = (0..4).map(|_| connect()).collect();
+    for worker in &mut workers {
+        assert!(send(worker, "POST", "/agent/beat", "{}").starts_with("http/1.1 200"));
+    }
+    let mut fifth = connect();
+    assert!(
+        refused(&send(&mut fifth, "POST", "/agent/beat", "{}")),
+        "a fifth worker"
+    );
+    let mut user = connect();
+    assert!(send(&mut user, "GET", "/healthz", "").starts_with("http/1.1 200"));
+    drop(workers);
+    // Those that are open go on; the share is free for others again.
+    assert!(send(&mut user, "GET", "/v2/runs/req-1", "").starts_with("http/1.1 200"));
+}
+
+#[test]
+fn what_does_not_fit_is_told_so_at_once() {
+    let address = serve(bounds());
+    let connect = || TcpStream::connect(address).unwrap();
+    let mut open: Vec<TcpStream> = (0..6).map(|_| connect()).collect();
+    // The last of them has been accepted when it is answered.
+    assert!(send(&mut open[5], "GET", "/healthz", "").starts_with("http/1.1 200"));
+    let mut more = connect();
+    assert!(refused(&send(&mut more, "GET", "/healthz", "")));
+}
+
+#[test]
+fn a_body_that_is_too_long_or_never_comes_costs_little() {
+    let address = serve(Bounds {
+        idle: Duration::from_millis(200),
+        body: Duration::from_millis(200),
+        ..bounds()
+    });
+    let mut long = TcpStream::connect(address).unwrap();
+    let head = "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n";
+    long.write_all(head.as_bytes()).unwrap();
+    assert!(answer(&mut long).starts_with("http/1.1 413"));
+    let mut slow = TcpStream::connect(address).unwrap();
+    let head = "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc";
+    slow.write_all(head.as_bytes()).unwrap();
+    assert!(answer(&mut slow).starts_with("http/1.1 408"));
+    // A head that never ends: the connection is closed.
+    let mut endless = TcpStream::connect(address).unwrap();
+    endless.write_all(b"GET /healthz HT").unwrap();
+    assert!(!answer(&mut endless).starts_with("http/1.1 200"));
+}
--- /dev/null
+++ b/tests/troubles.rs
@@ -0,0 +1,229 @@
+//! The users' newer troubles, one small case each.
+
+mod common;
+
+use common::*;
+use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::coordination::redirects::Redirects;
+use stairstage::protocol::worker::*;
+
+fn worker_report(machine: &str, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: machine.into(),
+        endpoint: "127.0.0.1:9".into(),
+        kind: "m4".into(),
+        zone: "z".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token,
+        notice_s: None,
+        tasks,
+    }
+}
+
+/// Carries effects out: writes succeed, direct commands get no answer. Returns the tasks that were
+/// launched so, and the machines that were given back.
+fn out_of_reach(core: &mut Core, now: f64) -> (Vec<String>, Vec<String>) {
+    let (mut launches, mut returned) = (Vec::new(), Vec::new());
+    core.tick(now);
+    core.step(now);
+    loop {
+        let effects = core.take_effects();
+        if effects.is_empty() {
+            return (launches, returned);
+        }
+        for effect in effects {
+            match effect {
+                Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
+                Effect::Orders {
+                    machine, orders, ..
+                } => {
+                    launches.extend(starts(&orders.commands).into_iter().map(|s| s.0));
+                    core.ordered(&machine, Ordered::Unknown, now);
+                }
+                Effect::Return(names) => {
+                    core.returned(&names, true, now);
+                    returned.extend(names);
+                }
+                _ => {}
+            }
+        }
+        core.step(now);
+    }
+}
+
+fn answered(core: &mut Core, report: &Report, now: f64) -> Vec<String> {
+    match core.report(report, now) {
+        Heard::Answer(answer) => starts(&answer.commands).into_iter().map(|s| s.0).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_worker_that_heeds_no_answer_gets_no_more_work_and_is_returned() {
+    let mut core = core();
+    submit(&mut core, "req-1", "standing", "critical", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    assert!(!out_of_reach(&mut core, 0.0).0.is_empty());
+    // Its reports go on; nothing of what the answers say shows in them.
+    answered(&mut core, &worker_report("m-1", 2, 1, vec![]), 2.0);
+    answered(&mut core, &worker_report("m-1", 3, 1, vec![]), 4.0);
+    answered(&mut core, &worker_report("m-1", 4, 1, vec![]), 6.0);
+    answered(&mut core, &worker_report("m-2", 1, 1, vec![]), 6.0);
+    submit(&mut core, "req-2", "sweep", "normal", None, 2);
+    let (launched, _) = out_of_reach(&mut core, 6.1);
+    assert_eq!(
+        launched.len(),
+        4,
+        "all go to the other machine: {launched:?}"
+    );
+    let mut returned = Vec::new();
+    for i in 0..8 {
+        let now = 8.0 + 2.0 * f64::from(i);
+        core.report(&worker_report("m-1", 5 + i as u64, 1, vec![]), now);
+        core.report(&worker_report("m-2", 2 + i as u64, 1, vec![]), now);
+        returned.extend(out_of_reach(&mut core, now).1);
+    }
+    assert!(returned.contains(&"m-1".to_string()), "{returned:?}");
+}
+
+#[test]
+fn a_worker_that_hears_again_is_used_again() {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    let attempts = launched(&mut core, 0.0);
+    answered(&mut core, &worker_report("m-1", 2, 1, vec![]), 1.0);
+    answered(&mut core, &worker_report("m-1", 3, 1, vec![]), 2.0);
+    answered(&mut core, &worker_report("m-1", 4, 1, vec![]), 3.0);
+    // The answers get through: the tasks show, and end.
+    let running = shown(&attempts, TaskState::Running, None);
+    answered(&mut core, &worker_report("m-1", 5, 1, running), 4.0);
+    let done = shown(&attempts, TaskState::Exited, Some(Cause::Done));
+    answered(&mut core, &worker_report("m-1", 6, 1, done), 5.0);
+    submit(&mut core, "req-2", "sweep", "normal", None, 2);
+    let mut again = launched(&mut core, 5.5);
+    again.extend(starts(&report(&mut core, 7, Vec::new(), 6.0)));
+    assert_eq!(again.len(), 4, "{again:?}");
+}
+
+#[test]
+fn a_late_copy_is_no_sign_of_life_to_a_new_leader() {
+    // Tokens of this leader begin at 5; the copy is from before.
+    let mut core = core_with_token(5);
+    answered(&mut core, &worker_report("m-1", 9, 3, vec![]), 0.0);
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    assert!(out_of_reach(&mut core, 0.1).0.is_empty());
+    let mut returned = Vec::new();
+    for i in 1..30 {
+        returned.extend(out_of_reach(&mut core, f64::from(i)).1);
+    }
+    assert_eq!(returned, ["m-1"]);
+}
+
+#[test]
+fn a_late_copy_brings_no_returned_machine_back() {
+    let mut core = core();
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    core.returned(&["m-1".to_string()], true, 1.0);
+    let copy = worker_report("m-1", 2, 1, vec![]);
+    // Well over a lease later, with time passing meanwhile.
+    for i in 1..40 {
+        core.tick(f64::from(i));
+        assert_eq!(core.report(&copy, f64::from(i)), Heard::Stale);
+        assert_eq!(core.machine_count(), 0);
+    }
+}
+
+#[test]
+fn what_a_late_copy_says_has_completed_has_completed() {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    let attempts = launched(&mut core, 0.0);
+    let running = shown(&attempts, TaskState::Running, None);
+    answered(&mut core, &worker_report("m-1", 2, 1, running), 1.0);
+    core.returned(&["m-1".to_string()], true, 2.0);
+    assert_eq!(core.status("req-1").unwrap().done, 0);
+    let done = shown(&attempts, TaskState::Exited, Some(Cause::Done));
+    core.report(&worker_report("m-1", 3, 1, done), 3.0);
+    assert_eq!(core.status("req-1").unwrap().done, 4);
+}
+
+#[test]
+fn a_leader_in_doubt_keeps_tasks_alive_and_starts_nothing() {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    // The launches are recorded, but no direct command got through.
+    assert_eq!(out_of_reach(&mut core, 0.0).0.len(), 4);
+    core.valid_until = 1.0;
+    let starts = answered(&mut core, &worker_report("m-1", 2, 1, vec![]), 2.0);
+    assert!(starts.is_empty(), "{starts:?}");
+    core.valid_until = 10.0;
+    let starts = answered(&mut core, &worker_report("m-1", 3, 1, vec![]), 3.0);
+    assert_eq!(starts.len(), 4, "the lease held after all");
+}
+
+#[test]
+fn a_task_that_vanished_with_its_worker_s_process_does_not_stay_for_ever() {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    let attempts = launched(&mut core, 0.0);
+    let running = shown(&attempts, TaskState::Running, None);
+    answered(&mut core, &worker_report("m-1", 2, 1, running), 1.0);
+    // The process was back at once, and its counters have caught up: only a new token proves
+    // that no launch can still arrive.
+    answered(&mut core, &worker_report("m-1", 3, 1, vec![]), 8.0);
+    core.step(9.0);
+    let raises = |e: &Effect| matches!(e, Effect::RaiseToken);
+    assert!(core.take_effects().iter().any(raises));
+    core.token_raised(Some(2), 9.0);
+    answered(&mut core, &worker_report("m-1", 4, 1, vec![]), 10.0);
+    answered(&mut core, &worker_report("m-1", 5, 2, vec![]), 10.5);
+    assert_eq!(core.status("req-1").unwrap().running, 0);
+    // The first direct command is still without an answer, so the launches come with a report's.
+    launched(&mut core, 11.0);
+    let again = answered(&mut core, &worker_report("m-1", 6, 2, vec![]), 11.5);
+    assert_eq!(again.len(), 4, "they start anew");
+}
+
+#[test]
+fn a_copy_of_a_report_is_no_worker_that_comes_back() {
+    let mut redirects = Redirects::default();
+    assert!(!redirects.comes_back("m-1", (1, 5), 0.0, 2.0));
+    for _ in 0..5 {
+        assert!(!redirects.comes_back("m-1", (1, 5), 1.0, 2.0));
+        assert!(!redirects.comes_back("m-1", (1, 3), 1.0, 2.0));
+    }
+    assert!(!redirects.comes_back("m-1", (1, 6), 2.0, 2.0));
+    assert!(redirects.comes_back("m-1", (1, 7), 3.0, 2.0));
+    // Much later it is a worker like any other.
+    assert!(!redirects.comes_back("m-1", (1, 8), 20.0, 2.0));
+}
+
+#[test]
+fn repeats_of_what_was_carried_out_change_nothing() {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    submit(&mut core, "req-1", "sweep", "normal", None, 7);
+    assert_eq!(core.job_count(), 1);
+    core.cancel("req-1", 0.0);
+    core.cancel("req-1", 0.5);
+    let spec = common::parsed(&common::submission("req-1", "sweep", "normal", 4));
+    let record = OpenRecord {
+        spec,
+        at_ms: 0,
+        cancelled: false,
+    };
+    core.job_opened(record, 1, 0, 1.0);
+    assert!(core.status("req-1").is_none_or(|s| s.done == 0));
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 1.0);
+    assert!(launched(&mut core, 1.0).is_empty(), "it stays cancelled");
+    core.returned(&["m-1".to_string()], true, 2.0);
+    core.returned(&["m-1".to_string()], true, 2.5);
+    assert_eq!(core.machine_count(), 0);
+}
