--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,7 +46,7 @@
 cluster_listen = "127.0.0.1:2"
 endpoints = { cloud = "127.0.0.1:3", state = "127.0.0.1:4" }
 [settings]
-teams = [{ name = "t" }]
+teams = [{ name = "t" }, { name = "u" }]
 workers = { report_s = 2.0, lease_s = 12.0, gang_wait_s = 20.0, gang_peer_s = 4.0, cancel_s = 30.0 }
 state = { rps = 200.0, write_rps = 100.0, value_kb = 16.0, txn_ops = 8 }
 cloud = { rps = 10.0, list_lag_s = 4.0 }
--- /dev/null
+++ b/tests/play.rs
@@ -0,0 +1,288 @@
+//! A clock-free play of the scheduler over generated loads: more work than room, floods of small
+//! jobs, deadlines that cannot be met. Everybody is served, and the largest begin in time.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::json;
+use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::protocol::worker::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug)]
+struct Load {
+    at_s: f64,
+    class: &'static str,
+    team: &'static str,
+    rig: &'static str,
+    tasks: u32,
+    cpus: f64,
+    run_s: f64,
+    due_s: Option<f64>,
+    /// How much of its run time its owner expects.
+    estimate: f64,
+}
+
+/// When a job arrived, first ran, and was done.
+#[derive(Clone, Debug, Default)]
+struct Fate {
+    arrived: f64,
+    began: Option<f64>,
+    done: Option<f64>,
+}
+
+const MACHINES: usize = 6;
+
+struct Play {
+    core: Core,
+    now: f64,
+    seqs: [u64; MACHINES],
+    /// Tasks on each machine, with their ends.
+    running: Vec<BTreeMap<(String, u64), f64>>,
+    exited: Vec<BTreeSet<(String, u64)>>,
+    run_s: BTreeMap<String, f64>,
+    fates: BTreeMap<String, Fate>,
+    written: u64,
+}
+
+impl Play {
+    fn new() -> Play {
+        Play {
+            core: core(),
+            now: 0.0,
+            seqs: [0; MACHINES],
+            running: vec![BTreeMap::new(); MACHINES],
+            exited: vec![BTreeSet::new(); MACHINES],
+            run_s: BTreeMap::new(),
+            fates: BTreeMap::new(),
+            written: 100,
+        }
+    }
+
+    fn submit(&mut self, number: usize, load: &Load) {
+        let id = format!("req-{number}");
+        let mut body = submission(&id, load.rig, "normal", load.tasks);
+        body["duty"] = json!(load.class);
+        body["crew"] = json!(load.team);
+        body["cpus"] = json!(load.cpus);
+        body["passage_s"] = json!(load.run_s * load.estimate);
+        body["due_s"] = json!(load.due_s);
+        let record = OpenRecord {
+            spec: parsed(&body),
+            at_ms: 0,
+            cancelled: false,
+        };
+        self.core
+            .job_open(record, number as u64 + 1, self.now, self.now);
+        self.run_s.insert(id.clone(), load.run_s);
+        let arrived = self.now;
+        self.fates.insert(
+            id,
+            Fate {
+                arrived,
+                ..Fate::default()
+            },
+        );
+    }
+
+    fn run(&mut self, machine: usize, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self.running[machine].contains_key(&key)
+                        || self.exited[machine].contains(&key)
+                    {
+                        continue;
+                    }
+                    let id = task.rsplit_once('/').unwrap().0;
+                    self.running[machine].insert(key, self.now + self.run_s[id]);
+                    let fate = self.fates.get_mut(id).unwrap();
+                    fate.began.get_or_insert(self.now);
+                }
+                Command::Stop { task, attempt, .. } => {
+                    self.running[machine].remove(&(task.clone(), *attempt));
+                }
+                Command::Forget { task, attempt } => {
+                    self.exited[machine].remove(&(task.clone(), *attempt));
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, machine: usize) -> Report {
+        self.seqs[machine] += 1;
+        let now = self.now;
+        let over: Vec<(String, u64)> = self.running[machine]
+            .iter()
+            .filter(|(_, end)| **end <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in over {
+            self.running[machine].remove(&key);
+            self.exited[machine].insert(key);
+        }
+        let running: Vec<(String, u64)> = self.running[machine].keys().cloned().collect();
+        let exited: Vec<(String, u64)> = self.exited[machine].iter().cloned().collect();
+        let mut tasks = shown(&running, TaskState::Running, None);
+        tasks.extend(shown(&exited, TaskState::Exited, Some(Cause::Done)));
+        Report {
+            machine: format!("m-{machine}"),
+            endpoint: "127.0.0.1:9".into(),
+            kind: "m4".into(),
+            zone: "z".into(),
+            spot: false,
+            session: 1,
+            seq: self.seqs[machine],
+            token: self.core.token,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    fn second(&mut self) {
+        for machine in 0..MACHINES {
+            let report = self.report(machine);
+            if let Heard::Answer(answer) = self.core.report(&report, self.now) {
+                self.run(machine, &answer.commands);
+            }
+        }
+        self.core.tick(self.now);
+        self.core.step(self.now);
+        loop {
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                self.carry_out(effect);
+            }
+            self.core.step(self.now);
+        }
+        self.now += 1.0;
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write { id, .. } => {
+                self.written += 1;
+                self.core
+                    .written(id, Written::Applied(self.written), self.now);
+            }
+            Effect::Orders {
+                machine, orders, ..
+            } => {
+                let i: usize = machine[2..].parse().unwrap();
+                self.run(i, &orders.commands);
+                let report = self.report(i);
+                self.core
+                    .ordered(&machine, Ordered::Executed(report), self.now);
+            }
+            // The fleet stays as it is.
+            Effect::Return(names) => self.core.returned(&names, false, self.now),
+            Effect::Rent(rent) => self.core.rented(&rent.request, Some(Vec::new()), self.now),
+            Effect::RaiseToken => {
+                let token = self.core.token + 1;
+                self.core.token_raised(Some(token), self.now);
+            }
+            Effect::Ended { id, .. } => {
+                self.fates
+                    .get_mut(&*id)
+                    .unwrap()
+                    .done
+                    .get_or_insert(self.now);
+            }
+        }
+    }
+}
+
+/// A flood of small jobs that never ends, with larger ones among them; about `pressure` times as
+/// much as the machines can do.
+fn loads(sizes: &[(u32, bool, bool)], pressure: f64) -> Vec<Load> {
+    let capacity = 4.0 * MACHINES as f64;
+    let mut at_s = 0.0;
+    let mut loads = Vec::new();
+    for (i, (size, gang, late)) in sizes.iter().enumerate() {
+        let large = i % 6 == 5;
+        let load = Load {
+            at_s,
+            class: if large { "large" } else { "small" },
+            team: if i % 2 == 0 { "t" } else { "u" },
+            rig: if *gang && large { "group" } else { "sweep" },
+            tasks: if large { 8 + size % 8 } else { 1 + size % 4 },
+            cpus: if large { 2.0 } else { 1.0 },
+            run_s: if large {
+                40.0
+            } else {
+                8.0 + f64::from(size % 10)
+            },
+            due_s: late.then_some(if large { 60.0 } else { 30.0 }),
+            estimate: 0.6 + f64::from(size % 7) / 6.0,
+        };
+        let tasks = if load.rig == "group" {
+            load.tasks.min(10)
+        } else {
+            load.tasks
+        };
+        at_s += f64::from(tasks) * load.cpus * load.run_s / capacity / pressure;
+        loads.push(Load { tasks, ..load });
+    }
+    loads
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn everybody_is_served_and_the_largest_begin_in_time(
+        sizes in prop::collection::vec((0u32..40, any::<bool>(), any::<bool>()), 90..120),
+        pressure in 1.0f64..1.6,
+    ) {
+        let loads = loads(&sizes, pressure);
+        let mut play = Play::new();
+        for machine in 0..MACHINES {
+            let report = play.report(machine);
+            play.core.report(&report, 0.0);
+        }
+        let end_s = loads.last().unwrap().at_s + 240.0;
+        let mut next = 0;
+        while play.now < end_s {
+            while next < loads.len() && loads[next].at_s <= play.now {
+                play.submit(next, &loads[next]);
+                next += 1;
+            }
+            play.second();
+        }
+        let fate = |i: usize| &play.fates[&format!("req-{i}")];
+        let mut groups: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        let mut count = |group: String, served: bool| {
+            let entry = groups.entry(group).or_default();
+            entry.0 += 1;
+            entry.1 += usize::from(served);
+        };
+        for (i, load) in loads.iter().enumerate() {
+            let served = fate(i).done.is_some();
+            count(format!("class {}", load.class), served);
+            count(format!("team {}", load.team), served);
+            if load.class == "large" && load.tasks >= 12 {
+                count("the largest".into(), served);
+            }
+            let began = fate(i).began.map(|t| t - fate(i).arrived);
+            prop_assert!(
+                began.is_some_and(|s| s <= 240.0),
+                "req-{i} began after {began:?}: {load:?}"
+            );
+        }
+        for (group, (all, served)) in groups {
+            prop_assert!(2 * served >= all, "{group}: {served} of {all}");
+        }
+    }
+}
