--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -191,6 +191,21 @@
     assert_eq!(again.len(), 4, "they start anew");
 }
 
+#[test]
+fn a_copy_from_before_a_machine_s_process_ended_proves_nothing() {
+    let mut core = core_with_token(5);
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 0, vec![]), 0.0);
+    answered(&mut core, &worker_report("m-1", 2, 5, vec![]), 0.5);
+    assert_eq!(launched(&mut core, 0.5).len(), 4);
+    // An earlier process of that machine had come to its second session, under an earlier leader.
+    let mut copy = worker_report("m-1", 9, 3, vec![]);
+    copy.session = 2;
+    assert_eq!(core.report(&copy, 1.0), Heard::Stale);
+    answered(&mut core, &worker_report("m-2", 1, 5, vec![]), 1.0);
+    assert!(launched(&mut core, 2.0).is_empty(), "they may run on m-1");
+}
+
 #[test]
 fn a_copy_of_a_report_is_no_worker_that_comes_back() {
     let mut redirects = Redirects::default();
