--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Everything but [`election`] is clock-free: it takes events with their time, and returns effects
 //! for other actors to carry out. [`core`] owns the state; [`places`] guards the invariants that the
-//! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`], [`deadlines`],
-//! [`backfill`], [`placement`], [`predict`], [`fleet`] and [`health`] decide.
+//! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`],
+//! [`deadlines`], [`backfill`], [`placement`], [`predict`], [`fleet`], [`retiring`] and [`health`]
+//! decide. [`redirects`] is a follower's.
 
 pub mod backfill;
 pub mod core;
@@ -20,6 +21,7 @@
 pub mod recovery;
 pub mod redirects;
 pub mod reports;
+pub mod retiring;
 pub mod state;
 pub mod writes;
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -161,7 +161,9 @@
         let most = job.spec.tasks.div_ceil(2);
         let (one_zone, spread) = (job.spec.one_zone, job.spec.spread);
         let zones = self.zones_of(job);
-        let here = zones.get(zone).copied().unwrap_or(0);
+        // The zone of a machine that is known by its name only may be any.
+        let unknown = zones.get("").copied().unwrap_or(0);
+        let here = unknown + zones.get(zone).copied().unwrap_or(0);
         let elsewhere = zones.iter().any(|(z, n)| z != zone && *n > 0);
         !(one_zone && elsewhere || spread && here >= most)
     }
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -15,39 +15,31 @@
 
 impl Core {
     /// Puts a task on a machine. The launch leaves once the record is written.
-    pub(super) fn add_place(
-        &mut self,
-        id: &Name,
-        task: u32,
-        machine: &Name,
-        attempt: u64,
-        stage: Stage,
-        now: Time,
-    ) {
+    pub(super) fn add_place(&mut self, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
         let slab = self.choose_slab();
-        self.add_place_in(slab, id, task, machine, attempt, stage, now);
+        self.add_place_in(slab, key, machine, stage, now);
     }
 
     /// The same, where it is known which record tells of the place.
-    #[allow(clippy::too_many_arguments)]
     fn add_place_in(
         &mut self,
         slab: usize,
-        id: &Name,
-        task: u32,
+        key: PlaceKey,
         machine: &Name,
-        attempt: u64,
         stage: Stage,
         now: Time,
     ) {
+        let (id, task, attempt) = &key;
         let (Some(job), Some(m)) = (self.jobs.get_mut(id), self.machines.get_mut(machine)) else {
             return;
         };
         let load = job.load();
-        let Some(slot) = job.tasks.get_mut(task as usize) else {
+        let Some(slot) = job.tasks.get_mut(*task as usize) else {
             return;
         };
-        let need = load.need;
+        if m.places.contains_key(&key) {
+            return;
+        }
         let place = Place {
             stage,
             since: now,
@@ -59,23 +51,18 @@
             missing: false,
             load,
         };
-        if m.places
-            .insert((id.clone(), task, attempt), place)
-            .is_some()
-        {
-            return;
-        }
+        m.places.insert(key.clone(), place);
         m.places_changed();
         slot.at.push(At {
             machine: machine.clone(),
-            attempt,
+            attempt: *attempt,
             slab,
         });
         job.live += 1;
         let usage = self.team_use.entry(job.spec.team.clone()).or_default();
-        usage.0 += need.cpus;
-        usage.1 += need.gpus;
-        self.enter(slab, (id.clone(), task, attempt), machine, stage, now);
+        usage.0 += load.need.cpus;
+        usage.1 += load.need.gpus;
+        self.enter(slab, key, machine, stage, now);
     }
 
     /// Enters a new place into a record.
@@ -327,24 +314,16 @@
     }
 
     /// Loads a place that an earlier leader recorded.
-    pub(super) fn recover_place(
-        &mut self,
-        slab: usize,
-        id: &Name,
-        task: u32,
-        machine: &Name,
-        attempt: u64,
-        now: Time,
-    ) {
+    pub(super) fn recover_place(&mut self, slab: usize, key: PlaceKey, machine: &Name, now: Time) {
         // The record names the machine only: its own report or the cloud's list tells the rest.
         self.machines.entry(machine.clone()).or_insert_with(|| {
             let mut m = Machine::new(machine.clone(), "".into(), "".into(), false, now);
             m.phase = Phase::Up;
             m
         });
-        self.add_place_in(slab, id, task, machine, attempt, Stage::Started, now);
+        self.add_place_in(slab, key.clone(), machine, Stage::Started, now);
         let m = self.machines.get_mut(machine);
-        if let Some(p) = m.and_then(|m| m.places.get_mut(&(id.clone(), task, attempt))) {
+        if let Some(p) = m.and_then(|m| m.places.get_mut(&key)) {
             p.recovered = true;
         }
     }
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -62,14 +62,8 @@
                 true => *gangs.entry(plan.job.clone()).or_insert(fresh),
                 false => fresh,
             };
-            self.add_place(
-                &plan.job,
-                plan.task,
-                &plan.machine,
-                attempt,
-                Stage::Planned,
-                now,
-            );
+            let key = (plan.job, plan.task, attempt);
+            self.add_place(key, &plan.machine, Stage::Planned, now);
         }
     }
 
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -90,7 +90,8 @@
             for (machine, places) in machines {
                 let machine: Name = machine.as_str().into();
                 for (task, attempt) in places {
-                    self.recover_place(slab, &id, task, &machine, attempt, now);
+                    let key = (id.clone(), task, attempt);
+                    self.recover_place(slab, key, &machine, now);
                 }
             }
         }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -123,7 +123,7 @@
             }
             let taken = job.tasks[key.1 as usize].done || !job.tasks[key.1 as usize].at.is_empty();
             warn!("{name}: shows {}/{} that was not expected", key.0, key.1);
-            self.add_place(&key.0, key.1, name, key.2, Stage::Started, now);
+            self.add_place(key.clone(), name, Stage::Started, now);
             if taken || cancelled {
                 let m = self.machines.get_mut(name).expect("known machine");
                 let place = m.places.get_mut(key).expect("just added");
--- /dev/null
+++ b/src/coordination/retiring.rs
@@ -0,0 +1,199 @@
+//! Which machines to give back: those that stand idle, and those whose replicas fit elsewhere.
+
+use super::core::Core;
+use super::fleet::LEAST_CHARGE_S;
+use super::placement::may_use;
+use super::state::*;
+use super::Time;
+use std::collections::HashMap;
+use tracing::info;
+
+/// Free processors that are kept for each that waiting tasks take: they do not fit everywhere.
+const ROOM_FOR_WAITING: f64 = 1.25;
+/// Machines whose replicas may be moved in one tick, as a share of those that are up, and those
+/// that are looked at for it.
+const MOVED_SHARE: f64 = 0.05;
+const MOVE_CANDIDATES: usize = 16;
+/// A start counts once the task has run for this long.
+const START_COUNTS_S: f64 = 30.0;
+
+impl Core {
+    /// Gives back machines that stand idle, if what is expected fits without them.
+    pub(super) fn return_idle(&mut self, now: Time) {
+        let silence_s = self.silence_s();
+        let idle_share = self.settings.policy.idle;
+        let mut idle: Vec<(f64, &Machine)> = self
+            .machines
+            .values()
+            .filter(|m| m.takes_tasks(now, silence_s, self.first_token) && m.is_empty())
+            .filter_map(|m| {
+                let t = self.type_of(&m.kind)?;
+                let price = if m.spot { t.spot_price } else { t.price };
+                let long = now - m.idle_since > idle_share * t.boot_s;
+                let paid = now - m.rented > LEAST_CHARGE_S;
+                (long && paid).then_some((price, m))
+            })
+            .collect();
+        if idle.is_empty() {
+            return;
+        }
+        // Free processors beyond what waits or is expected: on all machines, and on those that
+        // the cloud does not take back. With many jobs there is always one that waits for a
+        // moment, so that alone keeps no machine.
+        let (mut spare, mut steady) = (0.0, 0.0);
+        for m in self.machines.values() {
+            if m.takes_tasks(now, silence_s, self.first_token) {
+                let free = self.free_room(m).cpus;
+                spare += free;
+                steady += if m.spot { 0.0 } else { free };
+            }
+        }
+        for (need, count, _) in self.fleet.expected(self, now) {
+            spare -= need.cpus * f64::from(count);
+            steady -= need.cpus * f64::from(count);
+        }
+        // Jobs that may only use some machines keep all of those.
+        let mut choosy: Vec<&Job> = Vec::new();
+        for job in self.jobs.values().filter(|j| !j.cancelled) {
+            // One that waits for its team's limit needs no machine.
+            let wanted = f64::from(self.wanted(job, job.unplaced_count()));
+            if wanted <= 0.0 {
+                continue;
+            }
+            spare -= ROOM_FOR_WAITING * wanted * job.spec.cpus;
+            if !job.spec.spot {
+                steady -= ROOM_FOR_WAITING * wanted * job.spec.cpus;
+            }
+            let whole = job.spec.gpus <= 0.0 && job.spec.types.is_none() && job.spec.zone.is_none();
+            if !whole {
+                choosy.push(job);
+            }
+        }
+        // The dearest first.
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut returns = Vec::new();
+        for (_, m) in idle {
+            let cpus = self.free_room(m).cpus;
+            let enough = spare >= cpus && (m.spot || steady >= cpus);
+            if enough && !choosy.iter().any(|j| may_use(j, m)) {
+                spare -= cpus;
+                steady -= if m.spot { 0.0 } else { cpus };
+                returns.push(m.name.clone());
+            }
+        }
+        for name in returns {
+            info!("{name}: idle, is returned");
+            self.give_back(&name);
+        }
+    }
+
+    /// Moves replicas off machines that hold nothing else, where others have room for them and
+    /// their images, so that these can be returned.
+    pub(super) fn consolidate(&mut self, now: Time) {
+        let up = self.machines.values().filter(|m| m.phase == Phase::Up);
+        let (mut count, mut moving) = (0, 0);
+        for m in up {
+            count += 1;
+            moving += usize::from(m.draining);
+        }
+        let most = ((MOVED_SHARE * count as f64) as usize).max(1);
+        let waiting = || {
+            self.jobs
+                .values()
+                .any(|j| !j.cancelled && j.unplaced_count() > 0)
+        };
+        if moving >= most || waiting() {
+            return;
+        }
+        let silence_s = self.silence_s();
+        let mut steady: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| !m.spot && m.takes_tasks(now, silence_s, self.first_token))
+            .collect();
+        let mut candidates: Vec<&Machine> = steady
+            .iter()
+            .copied()
+            .filter(|m| !m.is_empty() && self.holds_settled_replicas(m, now))
+            .collect();
+        candidates.sort_by(|a, b| a.used().cpus.total_cmp(&b.used().cpus));
+        // The fullest others come first: what they take leaves the emptier ones to follow.
+        steady.sort_by(|a, b| self.free_room(a).cpus.total_cmp(&self.free_room(b).cpus));
+        let mut taken: HashMap<usize, Room> = HashMap::new();
+        let mut leaving: Vec<(Name, Vec<PlaceKey>)> = Vec::new();
+        for m in candidates.into_iter().take(MOVE_CANDIDATES) {
+            if moving + leaving.len() >= most {
+                break;
+            }
+            // None goes to a machine that is to empty itself.
+            let others = |i: usize| {
+                let name = &steady[i].name;
+                *name != m.name && leaving.iter().all(|(l, _)| l != name)
+            };
+            if let Some(more) = self.fits_elsewhere(m, &steady, &others, &taken, now) {
+                taken = more;
+                let keys = m.live().map(|(key, _)| key.clone()).collect();
+                leaving.push((m.name.clone(), keys));
+            }
+        }
+        for (name, keys) in leaving {
+            let count = keys.len();
+            info!("{name}: its {count} replicas move, so that it can be returned");
+            for key in keys {
+                self.stop(&name, &key, 0.0, now);
+            }
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.draining = true;
+            }
+        }
+    }
+
+    /// Whether all on a machine are replicas that have run for long enough to count as started.
+    fn holds_settled_replicas(&self, m: &Machine, now: Time) -> bool {
+        m.live().all(|(_, place)| {
+            let settled = place
+                .running_since
+                .is_some_and(|t| now - t > START_COUNTS_S);
+            place.load.run_s.is_none() && settled && place.stop.is_none()
+        })
+    }
+
+    /// What others would hold beyond what they do now and what is `taken` already, if a machine's
+    /// replicas moved there: nothing, if they and those that are expected do not fit.
+    fn fits_elsewhere(
+        &self,
+        m: &Machine,
+        steady: &[&Machine],
+        others: &dyn Fn(usize) -> bool,
+        taken: &HashMap<usize, Room>,
+        now: Time,
+    ) -> Option<HashMap<usize, Room>> {
+        let mut taken = taken.clone();
+        let room = |i: usize, taken: &HashMap<usize, Room>| {
+            let mut room = self.free_room(steady[i]);
+            room.take(&taken.get(&i).copied().unwrap_or_default());
+            room
+        };
+        for (key, place) in m.live() {
+            let job = &self.jobs[&key.0];
+            let zoned = job.spec.one_zone || job.spec.spread;
+            let takes = |i: &usize| {
+                let r = steady[*i];
+                let allowed = (!zoned || r.zone == m.zone) && may_use(job, r);
+                allowed
+                    && r.images.contains_key(&job.spec.image)
+                    && others(*i)
+                    && room(*i, &taken).fits(&place.load.need)
+            };
+            let i = (0..steady.len()).find(takes)?;
+            taken.entry(i).or_default().add(&place.load.need);
+        }
+        let expected = self.fleet.expected(self, now);
+        let fit = expected.iter().all(|(need, count, _)| {
+            let free = (0..steady.len()).filter(|i| others(*i));
+            let slots: u32 = free.map(|i| room(i, &taken).slots(need)).sum();
+            slots >= *count
+        });
+        fit.then_some(taken)
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -98,15 +98,9 @@
     report_of(core, "m-1", seq, None, tasks, now)
 }
 
-pub fn report_of(
-    core: &mut Core,
-    machine: &str,
-    seq: u64,
-    notice_s: Option<f64>,
-    tasks: Vec<TaskReport>,
-    now: f64,
-) -> Vec<Command> {
-    let report = Report {
+/// A report of a machine of the only type, in its worker's first session.
+pub fn worker_report(machine: &str, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
         machine: machine.into(),
         endpoint: "127.0.0.1:9".into(),
         kind: "m4".into(),
@@ -114,10 +108,22 @@
         spot: false,
         session: 1,
         seq,
-        token: 1,
-        notice_s,
+        token,
+        notice_s: None,
         tasks,
-    };
+    }
+}
+
+pub fn report_of(
+    core: &mut Core,
+    machine: &str,
+    seq: u64,
+    notice_s: Option<f64>,
+    tasks: Vec<TaskReport>,
+    now: f64,
+) -> Vec<Command> {
+    let mut report = worker_report(machine, seq, 1, tasks);
+    report.notice_s = notice_s;
     match core.report(&report, now) {
         Heard::Answer(answer) => answer.commands,
         other => panic!("{other:?}"),
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -8,21 +8,6 @@
 use stairstage::coordination::redirects::Redirects;
 use stairstage::protocol::worker::*;
 
-fn worker_report(machine: &str, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
-    Report {
-        machine: machine.into(),
-        endpoint: "127.0.0.1:9".into(),
-        kind: "m4".into(),
-        zone: "z".into(),
-        spot: false,
-        session: 1,
-        seq,
-        token,
-        notice_s: None,
-        tasks,
-    }
-}
-
 /// Carries effects out: writes succeed, direct commands get no answer. Returns the tasks that were
 /// launched so, and the machines that were given back.
 fn out_of_reach(core: &mut Core, now: f64) -> (Vec<String>, Vec<String>) {
