--- a/src/coordination/backfill.rs
+++ b/src/coordination/backfill.rs
@@ -2,6 +2,7 @@
 
 use super::state::Room;
 use super::Time;
+use std::collections::BTreeMap;
 
 /// A machine as the reservation sees it: what is free now and what comes free when.
 pub struct Frees {
@@ -12,19 +13,19 @@
 }
 
 /// Where and when the queue's head starts, by the predictions at hand.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Reservation {
-    pub machine: usize,
+    /// When its next task starts.
     pub at: Time,
-    /// What is left over on the machine once the head has started.
-    pub spare: Room,
+    /// The machines that are held for its tasks: until when, and what is left over by then.
+    held: BTreeMap<usize, (Time, Room)>,
     /// For a gang: it needs room on many machines at once, so all are held for it.
-    pub everywhere: bool,
+    everywhere: bool,
 }
 
-/// The earliest start of a task that fits nowhere now.
-pub fn reserve(now: Time, need: &Room, machines: Vec<Frees>) -> Option<Reservation> {
-    let mut best: Option<Reservation> = None;
+/// The earliest starts of so many tasks, one a machine, that fit nowhere now.
+pub fn reserve(now: Time, need: &Room, tasks: usize, machines: Vec<Frees>) -> Option<Reservation> {
+    let mut starts: Vec<(Time, usize, Room)> = Vec::new();
     for mut m in machines {
         m.ends.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut room = m.room;
@@ -37,7 +38,7 @@
             at = at.max(*end);
             room.add(freed);
         }
-        if !room.fits(need) || best.is_some_and(|b| b.at <= at) {
+        if !room.fits(need) {
             continue;
         }
         // What ends by then as well is spare too.
@@ -47,14 +48,15 @@
             }
         }
         room.take(need);
-        best = Some(Reservation {
-            machine: m.machine,
-            at,
-            spare: room,
-            everywhere: false,
-        });
+        starts.push((at, m.machine, room));
     }
-    best
+    starts.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let held = starts.iter().take(tasks);
+    Some(Reservation {
+        at: starts.first()?.0,
+        held: held.map(|(at, i, spare)| (*i, (*at, *spare))).collect(),
+        everywhere: false,
+    })
 }
 
 /// The earliest start of so many tasks at once, by the predicted ends of what runs.
@@ -81,9 +83,8 @@
         at = at.max(end);
     }
     Some(Reservation {
-        machine: 0,
         at,
-        spare: Room::default(),
+        held: BTreeMap::new(),
         everywhere: true,
     })
 }
@@ -91,14 +92,18 @@
 impl Reservation {
     /// Whether a task that is started now on `machine`, and ends at `end`, leaves it undelayed.
     pub fn allows(&self, machine: usize, need: &Room, end: Time) -> bool {
-        let elsewhere = !self.everywhere && machine != self.machine;
-        elsewhere || end <= self.at || self.spare.fits(need)
+        match self.held.get(&machine) {
+            Some((at, spare)) => end <= *at || spare.fits(need),
+            None => !self.everywhere || end <= self.at,
+        }
     }
 
     /// Accounts for a task that was let pass.
     pub fn admit(&mut self, machine: usize, need: &Room, end: Time) {
-        if !self.everywhere && machine == self.machine && end > self.at {
-            self.spare.take(need);
+        if let Some((at, spare)) = self.held.get_mut(&machine) {
+            if end > *at {
+                spare.take(need);
+            }
         }
     }
 }
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -225,15 +225,14 @@
         let machines = machines.collect();
         let found = match job.spec.kind {
             Kind::Gang => reserve_gang(pass.now, &job.need(), job.unplaced_count(), machines),
-            _ => reserve(pass.now, &job.need(), machines),
+            // At one task a reservation would hold nothing among hundreds of machines.
+            _ => {
+                let waiting = job.unplaced_count() as usize;
+                reserve(pass.now, &job.need(), waiting, machines)
+            }
         };
-        if let Some(r) = found.filter(|r| !r.everywhere) {
-            let name = &pass.machine(r.machine).name;
-            tracing::debug!(
-                "{}: waits, reserved on {name} in {:.0} s",
-                job.id,
-                r.at - pass.now
-            );
+        if let Some(r) = &found {
+            tracing::debug!("{}: waits, reserved in {:.0} s", job.id, r.at - pass.now);
         }
         found
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -46,7 +46,7 @@
     #[test]
     fn the_head_reserves_at_the_earliest_time(fleet in machines(), need in 1u32..10) {
         let best = fleet.iter().filter_map(|m| earliest(m.0, &m.1, need)).min();
-        let found = reserve(0.0, &cpus(need), frees(&fleet));
+        let found = reserve(0.0, &cpus(need), 1, frees(&fleet));
         prop_assert_eq!(found.map(|r| r.at), best.map(f64::from));
     }
 
@@ -56,7 +56,7 @@
         need in 1u32..10,
         others in proptest::collection::vec((0usize..5, 1u32..4, 1u32..60), 0..8),
     ) {
-        let Some(mut held) = reserve(0.0, &cpus(need), frees(&fleet)) else { return Ok(()); };
+        let Some(mut held) = reserve(0.0, &cpus(need), 1, frees(&fleet)) else { return Ok(()); };
         let promised = held.at;
         let mut fleet = fleet;
         for (machine, size, run) in others {
@@ -69,7 +69,7 @@
             fleet[machine].0 -= size;
             fleet[machine].1.push((run, size));
         }
-        let now = reserve(0.0, &cpus(need), frees(&fleet)).map(|r| r.at);
+        let now = reserve(0.0, &cpus(need), 1, frees(&fleet)).map(|r| r.at);
         prop_assert!(now.is_some_and(|at| at <= promised), "{now:?} after {promised}");
     }
 
