Rent no spot room for batches that run on ordinary machines already

What it saves by the hour it spends on boots and fetches. Ruled out before: the time for which batches have lasted. Conclusion: removed.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -15,8 +15,6 @@
 const REMEMBERED: usize = 600;
 /// The share of an earlier leader's machines that must have been heard before any are rented.
 const SETTLED_SHARE: f64 = 0.9;
-/// The share of the batches on ordinary machines for which cheaper room is rented.
-const MOVED_TO_SPOT: f64 = 0.5;
 /// What a machine costs at least, in seconds of its price.
 pub(super) const LEAST_CHARGE_S: f64 = 60.0;
 /// The share of a job's time that its tasks may take to be worked off.
@@ -105,9 +103,8 @@
 struct Demand {
     spec: Arc<JobSpec>,
     count: u32,
-    /// Whether the cloud may take the machine back, and whether only such a machine will do.
+    /// Whether the cloud may take the machine back.
     spot: bool,
-    spot_only: bool,
 }
 
 /// Demands of the same shape and with the same choice of machines as one.
@@ -116,7 +113,7 @@
     for demand in demands {
         let same = merged.iter_mut().find(|m| {
             let (a, b) = (&m.spec, &demand.spec);
-            (m.spot, m.spot_only) == (demand.spot, demand.spot_only)
+            m.spot == demand.spot
                 && Room::of(a) == Room::of(b)
                 && (&a.types, &a.zone) == (&b.types, &b.zone)
         });
@@ -224,7 +221,6 @@
                     spec: job.spec.clone(),
                     count: left,
                     spot: job.spec.spot,
-                    spot_only: false,
                 });
             }
         }
@@ -246,12 +242,10 @@
                     spec: a.spec.clone(),
                     count: left,
                     spot: false,
-                    spot_only: false,
                 });
             }
         }
         demands.extend(self.batch_demand(now));
-        demands.extend(self.cheaper_demand());
         demands
     }
 
@@ -321,46 +315,6 @@
             spec: job.spec.clone(),
             count,
             spot: job.spec.spot && self.settings.policy.spot,
-            spot_only: false,
-        })
-    }
-
-    /// Batches that run on ordinary machines, though they may use those that the cloud takes back:
-    /// these cost a fraction, so room for them is rented, and the ordinary ones empty. What a boot
-    /// costs must come in again, so only as much is moved as surely goes on.
-    fn cheaper_demand(&self) -> Option<Demand> {
-        if !self.settings.policy.spot {
-            return None;
-        }
-        let mut held = 0.0;
-        let mut spec: Option<&Arc<JobSpec>> = None;
-        for m in self.machines.values() {
-            let free = self.free_room(m).cpus;
-            match (m.spot, m.phase) {
-                (true, Phase::Returning) => {}
-                (true, _) => held -= free,
-                (false, _) => {
-                    for (key, p) in m.live().filter(|(_, p)| p.load.run_s.is_some()) {
-                        let job = self.jobs.get(&key.0).filter(|j| j.spec.spot);
-                        if let Some(job) = job {
-                            held += p.load.need.cpus;
-                            spec = spec.or(Some(&job.spec));
-                        }
-                    }
-                }
-            }
-        }
-        for r in self.fleet.renting.values().filter(|r| r.spot) {
-            let cpus = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
-            held -= cpus * f64::from(r.count);
-        }
-        let spec = spec?;
-        let count = (MOVED_TO_SPOT * held / spec.cpus.max(1e-3)).floor();
-        (count >= 1.0).then(|| Demand {
-            spec: spec.clone(),
-            count: count as u32,
-            spot: true,
-            spot_only: true,
         })
     }
 
@@ -402,7 +356,7 @@
                     .filter(|z| spec.zone.as_ref().is_none_or(|s| s == *z))
                 {
                     for spot in [true, false] {
-                        if spot && !demand.spot || !spot && demand.spot_only {
+                        if spot && !demand.spot {
                             continue;
                         }
                         let offer = (t.name.as_str().into(), zone.as_str().into(), spot);
