Tidy: one question whether a machine takes tasks, one for an ended state, one opening of tests

No behaviour changes: the check with the same arguments in seven places is Core::takes_tasks, expected replicas are worked out once for all candidates that are to empty, JobState says what is an end, and the tests of troubles share their opening.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -231,6 +231,11 @@
         (self.settings.policy.silence * report_s).max(patience)
     }
 
+    /// Whether new tasks may be placed on a machine.
+    pub(super) fn takes_tasks(&self, m: &Machine, now: Time) -> bool {
+        m.takes_tasks(now, self.silence_s(), self.first_token)
+    }
+
     /// Lets time pass: decides what can be decided, and writes and sends what is due. Returns
     /// whether that took a pass over all that waits.
     pub fn step(&mut self, now: Time) -> bool {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -228,7 +228,7 @@
             let free: u32 = self
                 .machines
                 .values()
-                .filter(|m| m.takes_tasks(now, self.silence_s(), self.first_token) && !m.spot)
+                .filter(|m| self.takes_tasks(m, now) && !m.spot)
                 .map(|m| self.free_room(m).slots(&need))
                 .sum();
             let left = absorb(&need, false, count.saturating_sub(free));
@@ -255,13 +255,10 @@
             let cpus = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
             cpus * f64::from(r.count)
         });
-        let silence_s = self.silence_s();
         let present = self
             .machines
             .values()
-            .filter(|m| {
-                m.phase == Phase::Booting || m.takes_tasks(now, silence_s, self.first_token)
-            })
+            .filter(|m| m.phase == Phase::Booting || self.takes_tasks(m, now))
             .map(|m| {
                 let cpus = self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
                 let services = m.live().filter(|(_, p)| p.load.run_s.is_none());
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -70,12 +70,9 @@
 impl<'a> Pass<'a> {
     pub fn new(core: &'a Core, now: Time) -> Pass<'a> {
         let machines: Vec<&Machine> = core.machines.values().collect();
-        let silence_s = core.silence_s();
         let open = machines
             .iter()
-            .map(|m| {
-                m.takes_tasks(now, silence_s, core.first_token) && core.type_of(&m.kind).is_some()
-            })
+            .map(|m| core.takes_tasks(m, now) && core.type_of(&m.kind).is_some())
             .collect();
         let rooms = machines.iter().map(|m| core.free_room(m)).collect();
         let rank = core.fill_order(&machines);
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -259,12 +259,11 @@
 
     /// What the machines are used for, and why jobs stall: for people who read the log.
     pub(super) fn explain(&self, now: Time) {
-        let silence_s = self.silence_s();
         let (mut up, mut cpus, mut free, mut booting) = (0, 0.0, 0.0, 0);
         let (mut planned, mut fetching, mut running) = (0, 0, 0);
         for m in self.machines.values() {
             booting += usize::from(m.phase == Phase::Booting);
-            if m.takes_tasks(now, silence_s, self.first_token) {
+            if self.takes_tasks(m, now) {
                 up += 1;
                 cpus += self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
                 free += self.free_room(m).cpus;
--- a/src/coordination/retiring.rs
+++ b/src/coordination/retiring.rs
@@ -20,12 +20,11 @@
 impl Core {
     /// Gives back machines that stand idle, if what is expected fits without them.
     pub(super) fn return_idle(&mut self, now: Time) {
-        let silence_s = self.silence_s();
         let idle_share = self.settings.policy.idle;
         let mut idle: Vec<(f64, &Machine)> = self
             .machines
             .values()
-            .filter(|m| m.takes_tasks(now, silence_s, self.first_token) && m.is_empty())
+            .filter(|m| self.takes_tasks(m, now) && m.is_empty())
             .filter_map(|m| {
                 let t = self.type_of(&m.kind)?;
                 let price = if m.spot { t.spot_price } else { t.price };
@@ -42,7 +41,7 @@
         // moment, so that alone keeps no machine.
         let (mut spare, mut steady) = (0.0, 0.0);
         for m in self.machines.values() {
-            if m.takes_tasks(now, silence_s, self.first_token) {
+            if self.takes_tasks(m, now) {
                 let free = self.free_room(m).cpus;
                 spare += free;
                 steady += if m.spot { 0.0 } else { free };
@@ -105,11 +104,10 @@
         if moving >= most || waiting() {
             return;
         }
-        let silence_s = self.silence_s();
         let mut steady: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|m| !m.spot && m.takes_tasks(now, silence_s, self.first_token))
+            .filter(|m| !m.spot && self.takes_tasks(m, now))
             .collect();
         let mut candidates: Vec<&Machine> = steady
             .iter()
@@ -119,6 +117,7 @@
         candidates.sort_by(|a, b| a.used().cpus.total_cmp(&b.used().cpus));
         // The fullest others come first: what they take leaves the emptier ones to follow.
         steady.sort_by(|a, b| self.free_room(a).cpus.total_cmp(&self.free_room(b).cpus));
+        let expected = self.fleet.expected(self, now);
         let mut taken: HashMap<usize, Room> = HashMap::new();
         let mut leaving: Vec<(Name, Vec<PlaceKey>)> = Vec::new();
         for m in candidates.into_iter().take(MOVE_CANDIDATES) {
@@ -130,7 +129,7 @@
                 let name = &steady[i].name;
                 *name != m.name && leaving.iter().all(|(l, _)| l != name)
             };
-            if let Some(more) = self.fits_elsewhere(m, &steady, &others, &taken, now) {
+            if let Some(more) = self.fits_elsewhere(m, &steady, &others, &taken, &expected) {
                 taken = more;
                 let keys = m.live().map(|(key, _)| key.clone()).collect();
                 leaving.push((m.name.clone(), keys));
@@ -166,7 +165,7 @@
         steady: &[&Machine],
         others: &dyn Fn(usize) -> bool,
         taken: &HashMap<usize, Room>,
-        now: Time,
+        expected: &[(Room, u32, String)],
     ) -> Option<HashMap<usize, Room>> {
         let mut taken = taken.clone();
         let room = |i: usize, taken: &HashMap<usize, Room>| {
@@ -188,7 +187,6 @@
             let i = (0..steady.len()).find(takes)?;
             taken.entry(i).or_default().add(&place.load.need);
         }
-        let expected = self.fleet.expected(self, now);
         let fit = expected.iter().all(|(need, count, _)| {
             let free = (0..steady.len()).filter(|i| others(*i));
             let slots: u32 = free.map(|i| room(i, &taken).slots(need)).sum();
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -226,6 +226,13 @@
     Cancelled,
 }
 
+impl JobState {
+    /// Whether it never changes again.
+    pub fn is_end(self) -> bool {
+        matches!(self, JobState::Done | JobState::Cancelled)
+    }
+}
+
 /// The answer to a user's request about a job.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobStatus {
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -166,8 +166,7 @@
             return Answered::Now(busy());
         };
         if let Some(status) = located.status {
-            let ended = matches!(status.state, JobState::Done | JobState::Cancelled);
-            return match ended {
+            return match status.state.is_end() {
                 true => Answered::Now(Reply::json(200, &status)),
                 false => Answered::Unless(status),
             };
@@ -190,7 +189,7 @@
         let Ok(status) = serde_json::from_slice::<JobStatus>(&reply.body) else {
             return;
         };
-        if reply.status == 200 && matches!(status.state, JobState::Done | JobState::Cancelled) {
+        if reply.status == 200 && status.state.is_end() {
             ended_status(&self.controller, id, status.state);
         }
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// A job whose four tasks run on the one machine, which has reported twice.
+fn running_on_one() -> (Core, Vec<(String, u64)>) {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    let attempts = launched(&mut core, 0.0);
+    let running = shown(&attempts, TaskState::Running, None);
+    answered(&mut core, &worker_report("m-1", 2, 1, running), 1.0);
+    (core, attempts)
+}
+
 #[test]
 fn a_worker_that_heeds_no_answer_gets_no_more_work_and_is_returned() {
     let mut core = core();
@@ -124,12 +135,7 @@
 
 #[test]
 fn what_a_late_copy_says_has_completed_has_completed() {
-    let mut core = core();
-    submit(&mut core, "req-1", "sweep", "normal", None, 1);
-    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
-    let attempts = launched(&mut core, 0.0);
-    let running = shown(&attempts, TaskState::Running, None);
-    answered(&mut core, &worker_report("m-1", 2, 1, running), 1.0);
+    let (mut core, attempts) = running_on_one();
     core.returned(&["m-1".to_string()], true, 2.0);
     assert_eq!(core.status("req-1").unwrap().done, 0);
     let done = shown(&attempts, TaskState::Exited, Some(Cause::Done));
@@ -154,12 +160,7 @@
 
 #[test]
 fn a_task_that_vanished_with_its_worker_s_process_does_not_stay_for_ever() {
-    let mut core = core();
-    submit(&mut core, "req-1", "sweep", "normal", None, 1);
-    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
-    let attempts = launched(&mut core, 0.0);
-    let running = shown(&attempts, TaskState::Running, None);
-    answered(&mut core, &worker_report("m-1", 2, 1, running), 1.0);
+    let (mut core, _) = running_on_one();
     // The process was back at once, and its counters have caught up: only a new token proves
     // that no launch can still arrive.
     answered(&mut core, &worker_report("m-1", 3, 1, vec![]), 8.0);
