A leader that hears nobody judges no machine, and hands over to whom workers report

As its peers answered, the leader kept its office, and reports came to it late, through them. Now the silence of a machine says nothing while no worker is heard for longer than chance explains, and a leader that hears none asks its peers whether workers report to them, and resigns if so.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -131,6 +131,12 @@
     pub deposed: bool,
     /// When every other controller had promised to answer no report with a lower token.
     pub(super) promised: Option<Time>,
+    /// How many machines are up, and when any was last heard.
+    pub(super) up: usize,
+    pub(super) last_heard: Time,
+    /// The ends of the last gap that may be, and of the last that is, a fault of our own network.
+    pub(super) gap_ended: Time,
+    pub(super) hears_since: Time,
     pub(super) tasks_a_chunk: usize,
     pub(super) places_a_slab: usize,
 }
@@ -145,6 +151,12 @@
 /// A worker gives up on an answer after this time and on a node after one second more.
 const WORKER_PATIENCE_S: f64 = 4.0;
 pub(super) const WORKER_RETRY_S: f64 = 1.0;
+/// A gap in all workers' reports shows that this node is cut off when it is so many times as long
+/// as the mean time between two reports, but never when shorter than this share of an interval.
+const GAP_REPORTS: f64 = 8.0;
+const LEAST_GAP: f64 = 0.25;
+/// A worker reports after so many report intervals at the latest.
+const LONGEST_INTERVAL: f64 = 1.25;
 /// Steady clocks of different machines may differ by this much.
 pub(super) const DRIFT: f64 = 1.001;
 /// Seconds between passes while nothing is known to have changed, and between checks of leases.
@@ -192,6 +204,10 @@
             raising: false,
             deposed: false,
             promised: None,
+            up: 0,
+            last_heard: now,
+            gap_ended: now,
+            hears_since: now,
             tasks_a_chunk: tasks_a_chunk(c.state.value_kb),
             places_a_slab: places_a_slab(c.state.value_kb),
             settings,
@@ -231,6 +247,27 @@
         (self.settings.policy.silence * report_s).max(patience)
     }
 
+    /// How long it takes until hearing no worker at all is no chance any more: they report at times
+    /// of their own, so that many leave short gaps only.
+    pub(super) fn deaf_s(&self) -> f64 {
+        let gap = GAP_REPORTS / self.up.max(1) as f64;
+        gap.max(LEAST_GAP) * self.settings.cluster.workers.report_s
+    }
+
+    /// A worker is heard. After a gap, what others did not answer in it says nothing of them; after
+    /// one in which each should have reported, their silence counts from now. A shorter one may be
+    /// chance when many report at the same time, again and again.
+    pub(super) fn hears(&mut self, now: Time) {
+        let gap = now - self.last_heard;
+        if gap > self.deaf_s() {
+            self.gap_ended = now;
+        }
+        if gap > LONGEST_INTERVAL * self.settings.cluster.workers.report_s {
+            self.hears_since = now;
+        }
+        self.last_heard = now;
+    }
+
     /// Whether new tasks may be placed on a machine.
     pub(super) fn takes_tasks(&self, m: &Machine, now: Time) -> bool {
         m.takes_tasks(now, self.silence_s(), self.first_token)
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -110,19 +110,22 @@
     pub(super) fn check_machines(&mut self, now: Time) {
         let silence_s = self.silence_s();
         let suspect_s = self.settings.cluster.workers.report_s * SUSPECT_REPORTS;
-        let leads_since = self.leads_since;
+        // While nobody is heard, the silence of a machine says nothing about it.
+        let since = self.leads_since.max(self.hears_since);
+        let deaf = now - self.last_heard > self.deaf_s();
         // One that heeds no answer is as good as silent, though it is heard.
         let quiet_s = |m: &Machine| {
             let last = m.heard.unwrap_or(m.rented);
             let last = m.deaf_since.map_or(last, |t| t.min(last));
-            now - last.max(leads_since)
+            now - last.max(since)
         };
         let mut up = 0;
         let mut silent: Vec<(Name, f64)> = Vec::new();
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             up += 1;
             // A report is missing, and a command got no answer: it hangs, or is cut off.
-            let suspect = m.unanswered && quiet_s(m) > suspect_s;
+            let suspect =
+                m.unanswered.is_some_and(|t| t > self.gap_ended) && quiet_s(m) > suspect_s;
             if quiet_s(m) > silence_s || suspect {
                 silent.push((m.name.clone(), quiet_s(m)));
             }
@@ -130,9 +133,10 @@
         // Many at once: it is rather our own network that is cut. But not for ever: what has not
         // been answered for a lease has lost its tasks anyway, and a picture that holds nothing but
         // machines that are gone must come to an end.
-        let many = silent.len() * 2 > up.max(2);
+        let many = deaf || silent.len() * 2 > up.max(2);
         let lost_s = self.settings.cluster.workers.lease_s * DRIFT + silence_s;
-        if many {
+        self.up = up;
+        if many && !silent.is_empty() {
             warn!("{} of {up} machines are silent", silent.len());
         }
         for (name, quiet_s) in silent {
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -153,7 +153,7 @@
             // The rest goes with the answers to its reports; nothing is concluded.
             Ordered::Rejected(None) | Ordered::NotSent | Ordered::Unknown => {
                 m.no_orders_until = now + pause;
-                m.unanswered = true;
+                m.unanswered = Some(now);
             }
         }
     }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -42,6 +42,7 @@
             self.completed_by(r, now);
             return false;
         }
+        self.hears(now);
         if !self.machines.contains_key(&name) {
             info!("{name}: reports, and was not expected; adopted");
             let kind = r.kind.as_str().into();
@@ -77,7 +78,7 @@
         m.token = m.token.max(r.token);
         m.heard = Some(now);
         m.no_orders_until = 0.0;
-        m.unanswered = false;
+        m.unanswered = None;
         if m.endpoint.as_deref() != Some(r.endpoint.as_str()) {
             m.endpoint = Some(r.endpoint.clone());
         }
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -339,8 +339,8 @@
     pub unheeded: u32,
     pub deaf_since: Option<Time>,
     pub order_in_flight: bool,
-    /// It gave no answer to a command since it was last heard.
-    pub unanswered: bool,
+    /// When it last gave no answer to a command, since it was last heard.
+    pub unanswered: Option<Time>,
     pub no_orders_until: Time,
     pub idle_since: Time,
     /// Tasks of these jobs failed on it since one last completed there.
@@ -377,7 +377,7 @@
             unheeded: 0,
             deaf_since: None,
             order_in_flight: false,
-            unanswered: false,
+            unanswered: None,
             no_orders_until: 0.0,
             idle_since: now,
             failures: BTreeSet::new(),
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -44,14 +44,26 @@
     Returned(Vec<String>, bool),
     Listed(Vec<ListedMachine>),
     Types(Vec<MachineType>),
-    /// Whether any other controller could be reached.
-    Probed(bool),
+    /// What the other controllers said to a leader that hears no worker.
+    Probed(Ears),
+    /// A leader that hears no worker asks whether any reports here.
+    Hears(Respond),
     /// A new leader asks that no report be answered here with a lower token than its own.
     Promise(u64, Respond),
     /// All others have given that promise to this term's leader.
     Promised(u64),
 }
 
+/// Whether other controllers are reached, and whether workers report to them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ears {
+    /// No other controller answers.
+    Alone,
+    /// Some do, but no worker reports to them.
+    Deaf,
+    Open,
+}
+
 /// What the controller tells the gateway.
 pub struct Located {
     /// The job's state, if this node can be sure of it.
@@ -116,7 +128,7 @@
     redirects: Redirects,
     ticked: Time,
     listed: Time,
-    /// When a worker last reported here, and whether peers are being asked because none does.
+    /// When a worker last reported here itself, and whether peers are being asked because none does.
     heard: Time,
     probing: bool,
     /// The highest token that was promised to: lower ones never answer reports here.
@@ -129,7 +141,9 @@
 const LIST_SHARE: f64 = 0.1;
 /// Messages taken in before the core decides again.
 const BATCH: usize = 64;
-/// Report intervals without a word from any worker, after which a leader doubts its network.
+/// Report intervals without a word from any worker, after which a leader asks whether others hear
+/// them, and after which it hands over if it is alone. An interval may be a quarter longer by itself.
+const DEAF_REPORTS: f64 = 1.3;
 const SILENT_REPORTS: f64 = 3.0;
 const STEP: Duration = Duration::from_millis(20);
 /// Bytes that a remembered end takes, and the share of memory for them.
@@ -208,7 +222,7 @@
         let effects = core.take_effects();
         let deposed = core.deposed;
         // With machines, but no word from any, the fault may be this node's own network.
-        let deaf_s = SILENT_REPORTS * self.settings.cluster.workers.report_s;
+        let deaf_s = DEAF_REPORTS * self.settings.cluster.workers.report_s;
         let deaf = core.machine_count() > 0 && now - self.heard.max(core.leads_since) > deaf_s;
         if tick && deaf && !self.probing {
             self.probing = true;
@@ -223,30 +237,59 @@
         }
     }
 
-    /// Finds out whether any other controller can be reached.
+    /// Finds out whether any other controller can be reached, and hears workers.
     fn probe(&self) {
         let (peers, inbox) = (self.links.peers.clone(), self.links.inbox.clone());
         let within = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 2.0);
         let body = move || {
-            let reached = peers.names().any(|name| peers.reaches(name, within));
-            let _ = inbox.send(Message::Probed(reached));
+            let mut ears = Ears::Alone;
+            for name in peers.names() {
+                match peers.hears_workers(name, within) {
+                    Some(true) => {
+                        ears = Ears::Open;
+                        break;
+                    }
+                    Some(false) => ears = Ears::Deaf,
+                    None => {}
+                }
+            }
+            let _ = inbox.send(Message::Probed(ears));
         };
         if let Err(error) = super::spawn("probe", body) {
             warn!("{error:#}");
         }
     }
 
-    /// No worker and no peer can be reached, but the state service can: another node may have
-    /// the workers' ear, so it gets the chance to lead. A node that is alone takes it back.
-    fn probed(&mut self, reached: bool) {
+    /// No worker is heard here. Where another controller hears them, it had better lead: what comes
+    /// through it comes late, and no command reaches a worker directly. If no peer answers either,
+    /// another node may have the workers' ear all the same, and a node that is alone takes it back.
+    fn probed(&mut self, ears: Ears) {
         self.probing = false;
-        if !reached && matches!(self.role, Role::Leading(_)) && !self.links.peers.is_empty() {
-            warn!("no worker and no peer is heard: hands over");
+        let now = self.now();
+        let Role::Leading(core) = &self.role else {
+            return;
+        };
+        let silent_s = SILENT_REPORTS * self.settings.cluster.workers.report_s;
+        let silent = now - self.heard.max(core.leads_since) > silent_s;
+        let hands_over = match ears {
+            Ears::Open => true,
+            Ears::Alone => silent && !self.links.peers.is_empty(),
+            Ears::Deaf => false,
+        };
+        if hands_over {
+            warn!("no worker is heard here, others: {ears:?}; hands over");
             self.step_down();
             let _ = self.links.wishes.try_send(Wish::Resign);
         }
     }
 
+    /// Tells a leader that hears no worker whether any has reported here of late.
+    fn hears(&self, respond: Respond) {
+        let lately = self.settings.cluster.workers.report_s;
+        let hears = self.heard > 0.0 && self.now() - self.heard < lately;
+        respond(Reply::json(if hears { 200 } else { 404 }, &()));
+    }
+
     fn step_down(&mut self) {
         info!("leads no more");
         self.role = Role::Follower;
@@ -338,7 +381,8 @@
                     core.promised(now);
                 }
             }
-            Message::Probed(reached) => self.probed(reached),
+            Message::Probed(ears) => self.probed(ears),
+            Message::Hears(respond) => self.hears(respond),
             Message::Types(types) => {
                 if let Some(core) = self.core() {
                     core.set_types(types.clone());
@@ -552,15 +596,15 @@
 
     fn report(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
         let now = self.now();
+        if !passed_on {
+            self.heard = now;
+        }
         let workers = &self.settings.cluster.workers;
         let doubt_s = (workers.cancel_s - workers.lease_s).max(0.0) * DOUBT_SHARE;
         let reply = match &mut self.role {
             Role::Leading(core) if now < core.valid_until + doubt_s => {
                 match core.report(&report, now) {
-                    Heard::Answer(answer) => {
-                        self.heard = now;
-                        Reply::json(200, &answer)
-                    }
+                    Heard::Answer(answer) => Reply::json(200, &answer),
                     Heard::Stale => Reply::error(503, "an older report"),
                     Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
                 }
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -57,6 +57,9 @@
                 gateway::offer(&peer_stage, Task::peer(call, respond));
             }
             PeerCall::Report(body) => controller::offer_report(&peer_inbox, body, true, respond),
+            PeerCall::Hears => {
+                let _ = peer_inbox.try_send(Message::Hears(respond));
+            }
             PeerCall::Promise(token) => {
                 let _ = peer_inbox.try_send(Message::Promise(token, respond));
             }
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -53,6 +53,8 @@
 pub struct Bounds {
     /// Connections of all kinds.
     pub connections: usize,
+    /// Workers' connections that stay open between reports. Further workers are answered all the
+    /// same, on connections that close with the answer: a lease must not hang on a socket.
     pub workers: usize,
     pub users: usize,
     /// How long a connection may stay open without a request's head.
@@ -182,11 +184,12 @@
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let path = request.uri().path().to_string();
         let worker = path.starts_with("/agent/");
-        let admitted = class.get_or_init(|| match worker {
+        let class = class.get_or_init(|| match worker {
             true => Counted::below(self.bounds.workers, &self.workers),
             false => Counted::below(self.bounds.users, &self.users),
         });
-        if admitted.is_none() {
+        let admitted = class.is_some();
+        if !admitted && !worker {
             return Ok(response(
                 Reply::later("too many connections are open"),
                 true,
@@ -204,7 +207,7 @@
             }
             Err(reply) => reply,
         };
-        let close = reply.status == 413 || reply.status == 408;
+        let close = !admitted || reply.status == 413 || reply.status == 408;
         Ok(response(reply, close))
     }
 
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -19,13 +19,16 @@
 pub use wire::ask_request::Kind;
 use wire::peer_client::PeerClient;
 use wire::peer_server::{Peer, PeerServer};
-use wire::{AskReply, AskRequest, PromiseReply, PromiseRequest, ReportReply, ReportRequest};
+use wire::{AskReply, AskRequest, HearsReply, HearsRequest};
+use wire::{PromiseReply, PromiseRequest, ReportReply, ReportRequest};
 
 /// What another controller asks for.
 #[derive(Debug)]
 pub enum PeerCall {
     Ask(Kind, String, Vec<u8>),
     Report(Vec<u8>),
+    /// Whether workers report here.
+    Hears,
     Promise(u64),
 }
 
@@ -82,6 +85,11 @@
         }))
     }
 
+    async fn hears(&self, _: Request<HearsRequest>) -> Result<Response<HearsReply>, Status> {
+        let workers = self.call(PeerCall::Hears).await?.status == 200;
+        Ok(Response::new(HearsReply { workers }))
+    }
+
     async fn promise(
         &self,
         request: Request<PromiseRequest>,
@@ -198,6 +206,13 @@
         })
     }
 
+    /// Whether workers report to another controller; `None` if there is no answer.
+    pub fn hears_workers(&self, name: &str, within: Duration) -> Option<bool> {
+        let mut client = self.client(name)?;
+        let reply = self.call(within, async move { client.hears(HearsRequest {}).await })?;
+        Some(reply.workers)
+    }
+
     /// Asks for a promise to answer no report with a lower token; `None` if there is no answer.
     pub fn promise(&self, name: &str, token: u64, within: Duration) -> Option<bool> {
         let mut client = self.client(name)?;
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -7,6 +7,7 @@
 use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use stairstage::coordination::redirects::Redirects;
 use stairstage::protocol::worker::*;
+use std::collections::BTreeMap;
 
 /// Carries effects out: writes succeed, direct commands get no answer. Returns the tasks that were
 /// launched so, and the machines that were given back.
@@ -228,3 +229,82 @@
     core.returned(&["m-1".to_string()], true, 2.5);
     assert_eq!(core.machine_count(), 0);
 }
+
+/// A leader of forty machines, each with a running task, that report one after the other; what
+/// each of them runs.
+fn forty_machines() -> (Core, BTreeMap<String, Vec<TaskReport>>) {
+    let mut core = core();
+    let mut tasks: BTreeMap<String, Vec<TaskReport>> = BTreeMap::new();
+    for i in 0..40 {
+        let id = format!("req-{i}");
+        submit(&mut core, &id, "standing", "critical", None, i + 1);
+    }
+    for i in 0..40 {
+        answered(&mut core, &worker_report(&machine(i), 1, 1, vec![]), 0.0);
+    }
+    core.step(0.0);
+    loop {
+        let effects = core.take_effects();
+        if effects.is_empty() {
+            return (core, tasks);
+        }
+        for effect in effects {
+            match effect {
+                Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), 0.0),
+                Effect::Orders {
+                    machine, orders, ..
+                } => {
+                    let shown = shown(&starts(&orders.commands), TaskState::Running, None);
+                    let here = tasks.entry(machine.to_string()).or_default();
+                    here.extend(shown);
+                    let report = worker_report(&machine, 2, 1, here.clone());
+                    core.ordered(&machine, Ordered::Executed(report), 0.0);
+                }
+                _ => {}
+            }
+        }
+        core.step(0.0);
+    }
+}
+
+fn machine(i: u64) -> String {
+    format!("m-{i:02}")
+}
+
+/// Lets machines report every two seconds, one after the other, from one time to another. Returns
+/// those that were given back.
+fn beats(
+    core: &mut Core,
+    tasks: &BTreeMap<String, Vec<TaskReport>>,
+    reporting: std::ops::Range<u64>,
+    seconds: std::ops::Range<u64>,
+) -> Vec<String> {
+    let mut returned = Vec::new();
+    for step in seconds.start * 20..seconds.end * 20 {
+        let (now, i) = (step as f64 / 20.0, step % 40);
+        if reporting.contains(&i) {
+            let name = machine(i);
+            let report = worker_report(&name, 3 + step, 1, tasks[&name].clone());
+            core.report(&report, now);
+        }
+        if step % 20 == 0 {
+            returned.extend(out_of_reach(core, now).1);
+        }
+    }
+    returned
+}
+
+#[test]
+fn a_leader_that_hears_no_worker_at_all_gives_back_none() {
+    // What is missing is its own network: the reports of many machines leave no gap by chance.
+    let (mut core, tasks) = forty_machines();
+    assert!(beats(&mut core, &tasks, 0..40, 1..5).is_empty());
+    assert!(beats(&mut core, &tasks, 0..0, 5..10).is_empty(), "cut off");
+    // Those that are heard first make the others no more silent than they were.
+    assert!(beats(&mut core, &tasks, 0..30, 10..12).is_empty(), "back");
+    let returned = beats(&mut core, &tasks, 0..30, 12..20);
+    assert_eq!(returned, (30..40).map(machine).collect::<Vec<_>>());
+    // Nor does it keep what is gone for ever.
+    let returned = beats(&mut core, &tasks, 0..0, 20..50);
+    assert_eq!(returned.len(), 30, "after a lease, and the silence");
+}
