--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -348,7 +348,7 @@
 fn while_machines_fall_together_replicas_go_where_a_report_has_come_since() {
     let (mut core, tasks) = forty_machines();
     // The last to report comes first by name, so that it would be chosen among equals.
-    let mut beat = |core: &mut Core, step: u64, reporting: std::ops::Range<u64>| {
+    let beat = |core: &mut Core, step: u64, reporting: std::ops::Range<u64>| {
         let i = step % 40;
         let number = if i % 2 == 1 { 19 - i / 2 } else { 20 + i / 2 };
         let name = machine_name(number);
