Tests of real controllers: handing over, one's own name on record, lost news, leaving the rotation

The four guards that had no test of their own: a leader that hears no worker, a restarted controller that finds its own name in the leader's record, the rereading of open jobs, and a node that leaves the load balancer's rotation.

--- /dev/null
+++ b/tests/common/standins.rs
@@ -0,0 +1,416 @@
+//! Stand-ins on loopback for the state service, the cloud and one worker, and real controllers that
+//! speak to them.
+#![allow(dead_code)] // no test uses all of it
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tiny_http::{Method, Request, Response, Server};
+
+/// Keys with values, versions and leases; what the protocol says of them, without limits.
+#[derive(Default)]
+pub struct State {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub leases: BTreeMap<u64, (Instant, Duration)>,
+    changes: Vec<Value>,
+    pub revision: u64,
+}
+
+impl State {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over = |l: &(Instant, Duration)| now > l.0 + l.1;
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, l)| over(l))
+            .map(|(i, _)| *i)
+            .collect();
+        for lease in ended {
+            self.leases.remove(&lease);
+            let keys = self.keys.iter().filter(|(_, v)| v.2 == Some(lease));
+            for key in keys.map(|(k, _)| k.clone()).collect::<Vec<_>>() {
+                self.revision += 1;
+                self.change(&json!({"delete": key}));
+            }
+        }
+    }
+
+    fn change(&mut self, change: &Value) {
+        let stamp = self.revision;
+        if let Some(key) = change["write"].as_str() {
+            let value = (change["v"].clone(), stamp, change["mooring"].as_u64());
+            self.keys.insert(key.into(), value);
+            self.changes
+                .push(json!({"write": key, "v": change["v"], "stamp": stamp}));
+        } else if let Some(key) = change["delete"].as_str() {
+            self.keys.remove(key);
+            self.changes.push(json!({"delete": key, "stamp": stamp}));
+        }
+    }
+
+    fn transact(&mut self, body: &Value) -> (u16, Value) {
+        let mut failed = Vec::new();
+        for c in body["if"].as_array().into_iter().flatten() {
+            let key = c["key"].as_str().unwrap();
+            if self.keys.get(key).map_or(0, |v| v.1) != c["stamp"].as_u64().unwrap() {
+                failed.push(key.to_string());
+            }
+        }
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "tally": self.revision}));
+        }
+        self.revision += 1;
+        for change in body["apply"].as_array().into_iter().flatten() {
+            self.change(change);
+        }
+        (200, json!({"tally": self.revision}))
+    }
+
+    pub fn answer(&mut self, method: &Method, url: &str, body: &Value) -> (u16, Value) {
+        self.expire();
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        let parameter = |name: &str| {
+            let pairs = query.split('&').filter_map(|p| p.split_once('='));
+            pairs
+                .filter(|p| p.0 == name)
+                .map(|p| p.1.to_string())
+                .next()
+        };
+        let under = parameter("under").unwrap_or_default();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (method, &parts[..]) {
+            (Method::Post, ["txn"]) => self.transact(body),
+            (Method::Post, ["leases"]) => {
+                self.revision += 1;
+                let life = Duration::from_millis(body["life_ms"].as_u64().unwrap());
+                self.leases.insert(self.revision, (Instant::now(), life));
+                (200, json!({"mooring": self.revision}))
+            }
+            (Method::Post, ["leases", id, "extend"]) => {
+                match self.leases.get_mut(&id.parse().unwrap()) {
+                    Some(lease) => {
+                        lease.0 = Instant::now();
+                        (200, json!({}))
+                    }
+                    None => (404, json!({})),
+                }
+            }
+            (Method::Get, ["changes"]) => {
+                let after: u64 = parameter("after").unwrap().parse().unwrap();
+                let key = |c: &Value| {
+                    c["write"]
+                        .as_str()
+                        .or(c["delete"].as_str())
+                        .unwrap()
+                        .to_string()
+                };
+                let fresh =
+                    |c: &&Value| c["stamp"].as_u64() > Some(after) && key(c).starts_with(&under);
+                let news: Vec<Value> = self.changes.iter().filter(fresh).cloned().collect();
+                (200, json!({"tally": self.revision, "news": news}))
+            }
+            (Method::Get, ["store"]) => {
+                let after = parameter("after").unwrap_or_default();
+                let pairs: Vec<Value> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(&under) && **k > after)
+                    .map(|(k, v)| json!({"key": k, "v": v.0, "stamp": v.1}))
+                    .collect();
+                (
+                    200,
+                    json!({"pairs": pairs, "truncated": false, "tally": self.revision}),
+                )
+            }
+            (Method::Get, ["store", ..]) => match self.keys.get(&path["/store/".len()..]) {
+                Some((value, stamp, _)) => (200, json!({"key": path, "v": value, "stamp": stamp})),
+                None => (404, json!({"tally": self.revision})),
+            },
+            _ => (400, json!({})),
+        }
+    }
+}
+
+/// Serves `answer` from a few threads; a watch without news is asked again for a while.
+pub fn serve(
+    answer: impl Fn(&Method, &str, &Value) -> (u16, Value) + Send + Sync + 'static,
+) -> SocketAddr {
+    let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+    let address = server.server_addr().to_ip().unwrap();
+    let answer = Arc::new(answer);
+    for _ in 0..16 {
+        let (server, answer) = (server.clone(), answer.clone());
+        std::thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                respond(request, &*answer);
+            }
+        });
+    }
+    address
+}
+
+pub fn respond(mut request: Request, answer: &dyn Fn(&Method, &str, &Value) -> (u16, Value)) {
+    let mut text = String::new();
+    request.as_reader().read_to_string(&mut text).unwrap();
+    let body = serde_json::from_str(&text).unwrap_or(Value::Null);
+    let (method, url) = (request.method().clone(), request.url().to_string());
+    let mut reply = answer(&method, &url, &body);
+    for _ in 0..20 {
+        if !url.starts_with("/changes") || reply.1["news"] != json!([]) {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+        reply = answer(&method, &url, &body);
+    }
+    let response = Response::from_string(reply.1.to_string()).with_status_code(reply.0);
+    let _ = request.respond(response);
+}
+
+/// The one machine: its tasks run until they are told to be done.
+#[derive(Default)]
+pub struct Worker {
+    pub token: u64,
+    seq: u64,
+    pub tasks: BTreeMap<(String, u64), &'static str>,
+    pub finish: bool,
+    pub starts: Vec<String>,
+}
+
+impl Worker {
+    pub fn report(&mut self, endpoint: SocketAddr) -> Value {
+        self.seq += 1;
+        if self.finish {
+            self.tasks.values_mut().for_each(|t| *t = "exited");
+        }
+        let task = |((task, attempt), state): (&(String, u64), &&str)| {
+            let cause = (*state == "exited").then_some("done");
+            json!({"leg": task, "sailing": attempt, "status": state, "cause": cause})
+        };
+        let tasks: Vec<Value> = self.tasks.iter().map(task).collect();
+        json!({"vessel": "m-1", "endpoint": endpoint.to_string(), "hull": "g8", "berth": "z",
+            "driftwood": false, "watch": 1, "log_no": self.seq, "helm": self.token,
+            "recall_s": null, "legs": tasks})
+    }
+
+    pub fn run(&mut self, answer: &Value) -> bool {
+        let token = answer["helm"].as_u64().unwrap();
+        if token < self.token {
+            return false;
+        }
+        self.token = token;
+        for signal in answer["signals"].as_array().unwrap() {
+            let key = (
+                signal["leg"].as_str().unwrap().to_string(),
+                signal["sailing"].as_u64().unwrap(),
+            );
+            match signal["signal"].as_str().unwrap() {
+                "launch" if !self.tasks.contains_key(&key) => {
+                    self.starts.push(key.0.clone());
+                    self.tasks.insert(key, "running");
+                }
+                "stop" | "forget" => {
+                    self.tasks.remove(&key);
+                }
+                _ => {}
+            }
+        }
+        true
+    }
+}
+
+pub struct Killed(Child);
+
+impl Drop for Killed {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+pub fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+        .port()
+}
+
+pub fn call(method: &str, address: &str, path: &str, body: &Value) -> Option<(u16, Value)> {
+    let request = ureq::request(method, &format!("http://{address}{path}"));
+    let request = request.timeout(Duration::from_secs(3));
+    let result = match body {
+        Value::Null => request.call(),
+        body => request.send_json(body),
+    };
+    match result {
+        Ok(response) | Err(ureq::Error::Status(_, response)) => Some((
+            response.status(),
+            response.into_json().unwrap_or(Value::Null),
+        )),
+        Err(_) => None,
+    }
+}
+
+/// Tries again until there is a result. What may take its time on a slow machine has plenty: only
+/// a hang fails the test.
+pub fn until<T>(what: &str, mut attempt: impl FnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(result) = attempt() {
+            return result;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(240), "never: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// What a grid's controllers speak to, and where they listen.
+pub struct Grid {
+    pub state: Arc<Mutex<State>>,
+    pub state_down: Arc<AtomicBool>,
+    /// Whether no change of an open job reaches those who watch for it.
+    pub watch_deaf: Arc<AtomicBool>,
+    pub cloud_down: Arc<AtomicBool>,
+    pub worker: Arc<Mutex<Worker>>,
+    worker_address: SocketAddr,
+    state_address: SocketAddr,
+    cloud_address: SocketAddr,
+    ports: Vec<(u16, u16)>,
+    name: &'static str,
+}
+
+impl Grid {
+    /// `name` keeps the settings files of tests apart.
+    pub fn new(name: &'static str) -> Grid {
+        let state = Arc::new(Mutex::new(State::default()));
+        let state_down = Arc::new(AtomicBool::new(false));
+        let watch_deaf = Arc::new(AtomicBool::new(false));
+        let (kept, down, deaf) = (state.clone(), state_down.clone(), watch_deaf.clone());
+        let state_address = serve(move |method, url, body| {
+            if down.load(Ordering::Relaxed) {
+                return (503, json!({"error": "trouble"}));
+            }
+            let mut state = kept.lock().unwrap();
+            let (status, mut answer) = state.answer(method, url, body);
+            if deaf.load(Ordering::Relaxed) && url.starts_with("/changes?under=open/") {
+                answer["news"] = json!([]);
+            }
+            (status, answer)
+        });
+        let cloud_down = Arc::new(AtomicBool::new(false));
+        let down = cloud_down.clone();
+        let cloud_address = serve(move |_, url, _| match url.split('?').next().unwrap() {
+            _ if down.load(Ordering::Relaxed) => (503, json!({"error": "trouble"})),
+            "/machine_types" => (
+                200,
+                json!({"hulls": [{"sku": "g8", "cpus": 8, "gpus": 0, "mem_gb": 64,
+                "cache_gb": 50, "pull_gb_per_s": 1.0, "price": 1.0, "market_price": 0.4,
+                "startup_s": 30, "berths": ["z"]}]}),
+            ),
+            "/machines/return" => (200, json!({})),
+            _ => (503, json!({"error": "no capacity"})),
+        });
+        let worker = Arc::new(Mutex::new(Worker::default()));
+        let endpoint = Arc::new(Mutex::new(None));
+        let (orders_worker, orders_endpoint) = (worker.clone(), endpoint.clone());
+        let worker_address = serve(move |_, _, body| {
+            let mut worker = orders_worker.lock().unwrap();
+            let status = if worker.run(body) { 200 } else { 409 };
+            let address = orders_endpoint.lock().unwrap().unwrap();
+            (status, worker.report(address))
+        });
+        *endpoint.lock().unwrap() = Some(worker_address);
+        Grid {
+            state,
+            state_down,
+            watch_deaf,
+            cloud_down,
+            worker,
+            worker_address,
+            state_address,
+            cloud_address,
+            ports: (0..3).map(|_| (free_port(), free_port())).collect(),
+            name,
+        }
+    }
+
+    /// Starts one of the three controllers.
+    pub fn start(&self, i: usize) -> Option<Killed> {
+        let (front, cluster) = self.ports[i];
+        let mut text = format!(
+            "host_name = \"n{i}\"\nzone = \"z\"\nfront = \"127.0.0.1:{front}\"\n\
+             cluster_listen = \"127.0.0.1:{cluster}\"\n"
+        );
+        for j in (0..3).filter(|j| *j != i) {
+            text += &format!(
+                "[[others]]\nhost_name = \"n{j}\"\nzone = \"z\"\naddress = \"127.0.0.1:{}\"\n",
+                self.ports[j].1
+            );
+        }
+        text += &format!(
+            "[endpoints]\ncloud = \"{}\"\nstate = \"{}\"\n\
+             [settings]\n[[settings.teams]]\nname = \"t\"\n\
+             [settings.workers]\nreport_s = 1.0\nlease_s = 300.0\ngang_wait_s = 20.0\n\
+             gang_peer_s = 4.0\ncancel_s = 900.0\n\
+             [settings.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = 8\n\
+             [settings.cloud]\nrps = 10.0\nlist_lag_s = 4.0\n\
+             [settings.limits]\nram_mb = 100.0\nmax_sockets = 500\n",
+            self.cloud_address, self.state_address
+        );
+        let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let path = folder.join(format!("{}-{i}.toml", self.name));
+        let mut file = std::fs::File::create(&path).unwrap();
+        file.write_all(text.as_bytes()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_stairstage"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .env("LOG_LEVEL", "error")
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        Some(Killed(child))
+    }
+
+    pub fn front(&self, i: usize) -> String {
+        format!("127.0.0.1:{}", self.ports[i].0)
+    }
+
+    /// The worker reports to some of the nodes; only the leader answers with commands.
+    pub fn report_to(&self, nodes: &[usize]) {
+        for i in nodes {
+            let body = self.worker.lock().unwrap().report(self.worker_address);
+            if let Some((200, answer)) = call("POST", &self.front(*i), "/agent/beat", &body) {
+                self.worker.lock().unwrap().run(&answer);
+            }
+        }
+    }
+
+    /// Which node the leader's record names.
+    pub fn leader(&self) -> Option<usize> {
+        let state = self.state.lock().unwrap();
+        let name = state.keys.get("leader")?.0["node"].as_str()?.to_string();
+        name[1..].parse().ok()
+    }
+}
+
+/// An array of two small tasks.
+pub fn small_job(id: &str) -> Value {
+    json!({"name_id": id, "duty": "c", "crew": "t", "rig": "sweep",
+        "precedence": "normal", "legs": 2, "cpus": 1.0, "gpus": 0.0, "mem_gb": 1.0, "kit": "i",
+        "size_gb": 1.0, "same_place": false, "spread": false, "driftwood": false,
+        "passage_s": 20.0, "fix_interval_s": 0.0, "fix_s": 0.0})
+}
+
+/// Submits to a node until it is accepted.
+pub fn accepted(front: &str, job: &Value) -> u16 {
+    until("a submission is accepted", || {
+        let (status, _) = call("POST", front, "/v2/runs", job)?;
+        (status < 500).then_some(status)
+    })
+}
