Shares of sockets leave room for workers without one; scale counted at 2,200 machines

The shares of workers (0.65) and users (0.5) added up to more than the front's (0.85), so that a full share of users left 783 sockets of 2,237 to as many as 2,131 workers. Now 0.64 and 0.26 of 0.93: what is left over is for workers that connect for each report.

--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -30,12 +30,13 @@
 const STAGE: usize = 128;
 const GATEWAYS: usize = 16;
 /// Shares of the sockets that a process may have: what the front may hold, of that the workers and
-/// the users at the most, and direct commands to workers. The rest is for peers, the state service
+/// the users at the most, and direct commands to workers. What the front may hold beyond both is for
+/// workers without a share, which connect for each report; the rest is for peers, the state service
 /// and the cloud.
-const FRONT_SHARE: f64 = 0.85;
-const WORKERS_SHARE: f64 = 0.65;
-const USERS_SHARE: f64 = 0.5;
-const ORDERS_SHARE: f64 = 0.05;
+const FRONT_SHARE: f64 = 0.93;
+const WORKERS_SHARE: f64 = 0.64;
+const USERS_SHARE: f64 = 0.26;
+const ORDERS_SHARE: f64 = 0.04;
 /// Report intervals for which a connection may stay open without a request.
 const IDLE_REPORTS: f64 = 10.0;
 const LEAST_IDLE_S: f64 = 20.0;
@@ -114,12 +115,10 @@
         spawn("gateway", move || gateway.run())?;
     }
 
-    let sockets = settings.cluster.limits.max_sockets as f64;
-    let share = |share: f64| (share * sockets) as usize;
     let pool = workers::start(
         &settings,
         &runtime,
-        share(ORDERS_SHARE),
+        share(&settings, ORDERS_SHARE),
         &store,
         &types,
         &inbox,
@@ -137,13 +136,7 @@
         Call::Report(body) => controller::offer_report(&inbox, body, false, respond),
         call => gateway::offer(&stage, Task::user(call, respond)),
     };
-    let bounds = Bounds {
-        connections: share(FRONT_SHARE),
-        workers: share(WORKERS_SHARE),
-        users: share(USERS_SHARE),
-        idle: Duration::from_secs_f64((IDLE_REPORTS * report_s).max(LEAST_IDLE_S)),
-        body: BODY_PATIENCE,
-    };
+    let bounds = bounds(&settings);
     let health = isolation::watch(store, peers, epoch)?;
     front::serve(&runtime, settings.front, bounds, Arc::new(handler), health)
         .context("cannot listen for users")?;
@@ -152,6 +145,23 @@
     anyhow::bail!("the controller has stopped")
 }
 
+/// A share of the sockets that this process may have.
+fn share(settings: &Settings, share: f64) -> usize {
+    (share * settings.cluster.limits.max_sockets as f64) as usize
+}
+
+/// How much the front may take.
+pub fn bounds(settings: &Settings) -> Bounds {
+    let report_s = settings.cluster.workers.report_s;
+    Bounds {
+        connections: share(settings, FRONT_SHARE),
+        workers: share(settings, WORKERS_SHARE),
+        users: share(settings, USERS_SHARE),
+        idle: Duration::from_secs_f64((IDLE_REPORTS * report_s).max(LEAST_IDLE_S)),
+        body: BODY_PATIENCE,
+    }
+}
+
 pub(crate) fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> anyhow::Result<()> {
     std::thread::Builder::new()
         .name(name.into())
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -5,6 +5,7 @@
 use common::*;
 use stairstage::coordination::core::{Core, Effect, Written};
 use stairstage::protocol::worker::*;
+use stairstage::settings::Settings;
 use stairstage::transport::front::{self, Bounds};
 use stairstage::transport::runtime::Runtime;
 use stairstage::transport::Reply;
@@ -80,7 +81,7 @@
         }
         core.looks() - before
     };
-    assert_eq!((looks(20), looks(160)), (0, 0));
+    assert_eq!((looks(20), looks(2200)), (0, 0));
 }
 
 #[test]
@@ -186,6 +187,18 @@
     assert!(send(&mut user, "GET", "/v2/runs/req-1", "").starts_with("http/1.1 200"));
 }
 
+#[test]
+fn the_shares_of_sockets_leave_room_for_each_other() {
+    let settings = Settings::parse("test", SETTINGS).unwrap();
+    let b = stairstage::service::bounds(&settings);
+    let all = settings.cluster.limits.max_sockets as usize;
+    // Full shares of workers and users leave some for workers that connect for each report, and all
+    // of the front's leave some for peers, the state service, the cloud and direct commands.
+    assert!(b.workers + b.users < b.connections);
+    assert!(b.connections + 25 < all, "{} of {all}", b.connections);
+    assert!(b.workers > b.users && b.users > all / 5);
+}
+
 #[test]
 fn what_does_not_fit_is_told_so_at_once() {
     let address = serve(bounds());
