--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -191,7 +191,7 @@
 fn the_shares_of_sockets_leave_room_for_each_other() {
     let settings = Settings::parse("test", SETTINGS).unwrap();
     let b = stairstage::service::bounds(&settings);
-    let all = settings.cluster.limits.max_sockets as usize;
+    let all = settings.cluster.limits.max_sockets;
     // Full shares of workers and users leave some for workers that connect for each report, and all
     // of the front's leave some for peers, the state service, the cloud and direct commands.
     assert!(b.workers + b.users < b.connections);
