A new leader takes the age of its machines from the cloud's list

To a new leader every machine of an earlier one was as old as itself, and no machine goes back before the 60 s that it costs at least; five leaders in 125 s, and none returned anything. Ruled out: room kept for expected replicas (a few dozen), tasks left on every machine (some).

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -454,6 +454,8 @@
             }
             let m = self.machines.get_mut(&name).expect("present");
             m.describe(&l.kind, &l.zone, l.spot);
+            // A record of places or a report does not tell for how long an earlier leader had it.
+            m.rented = m.rented.min(now - l.age_s);
             if m.endpoint.is_none() {
                 m.endpoint.clone_from(&l.endpoint);
             }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -6,6 +6,7 @@
 use stairstage::bookkeeping::records::OpenRecord;
 use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use stairstage::coordination::redirects::Redirects;
+use stairstage::protocol::cloud::{ListedMachine, MachineState};
 use stairstage::protocol::worker::*;
 use std::collections::BTreeMap;
 
@@ -397,3 +398,26 @@
     let (launched, _) = out_of_reach(&mut core, 1.1);
     assert_eq!(launched, ["req-2/0", "req-2/1"]);
 }
+
+#[test]
+fn a_new_leader_returns_idle_machines_by_their_age_not_its_own() {
+    let mut core = core();
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    let listed = ListedMachine {
+        name: "m-1".into(),
+        endpoint: None,
+        kind: "m4".into(),
+        zone: "z".into(),
+        spot: false,
+        state: MachineState::Running,
+        age_s: 300.0,
+    };
+    core.listed(&[listed], 1.0);
+    let mut returned = Vec::new();
+    for i in 1..10 {
+        let now = 2.0 * f64::from(i);
+        core.report(&worker_report("m-1", 1 + i as u64, 1, vec![]), now);
+        returned.extend(out_of_reach(&mut core, now).1);
+    }
+    assert_eq!(returned, ["m-1"], "long paid for, and idle");
+}
