Say in the log which budget is short; the inbox grows with the sockets

The records' budget, what waits for it and for commands is a line of its own every five seconds, and a crowded inbox is told of once. Reports of 1,422 workers come within one interval of an election: the inbox held 512, and a worker that is turned away is back a second later.

--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -286,7 +286,8 @@
     }
 
     /// What the machines are used for, and why jobs stall: for people who read the log.
-    pub(super) fn explain(&self, now: Time) {
+    pub(super) fn explain(&mut self, now: Time) {
+        let (left, most) = (self.budget.level(now), self.budget.burst());
         let (mut up, mut cpus, mut free, mut booting) = (0, 0.0, 0.0, 0);
         let (mut planned, mut fetching, mut running) = (0, 0, 0);
         for m in self.machines.values() {
@@ -308,6 +309,15 @@
             "{up} machines take tasks, {free:.0} of their {cpus:.0} CPUs are free; {booting} boot; \
              tasks: {planned} to start, {fetching} fetch or end, {running} run"
         );
+        info!(
+            "records: {left:.0} of {most:.0} changes left, {} transactions under way, {} ends and \
+             {} records of places wait, {} keys to remove; commands wait for {} machines",
+            self.in_flight.len(),
+            self.over.len(),
+            self.urgent.len(),
+            self.stale_keys.len(),
+            self.to_order.len()
+        );
         let waiting: u32 = self
             .jobs
             .values()
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -131,6 +131,8 @@
     /// When a worker last reported here itself, and whether peers are being asked because none does.
     heard: Time,
     probing: bool,
+    /// Whether messages have piled up.
+    crowded: bool,
     /// The highest token that was promised to: lower ones never answer reports here.
     promised: u64,
 }
@@ -169,6 +171,7 @@
             listed: 0.0,
             heard: 0.0,
             probing: false,
+            crowded: false,
             promised: 0,
             settings,
         }
@@ -191,9 +194,19 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             self.step();
+            self.watch_inbox(&messages);
         }
     }
 
+    /// Tells once that messages pile up, until they are fewer again.
+    fn watch_inbox(&mut self, messages: &Receiver<Message>) {
+        let (waiting, most) = (messages.len(), messages.capacity().unwrap_or(usize::MAX));
+        if waiting > most / 2 && !self.crowded {
+            warn!("{waiting} of at most {most} messages wait: more is asked than this node can do");
+        }
+        self.crowded = waiting > most / if self.crowded { 4 } else { 2 };
+    }
+
     fn step(&mut self) {
         let now = self.now();
         let tick = now - self.ticked >= 1.0;
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -24,8 +24,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Messages that may wait for the controller.
-const INBOX: usize = 512;
+/// Messages that may wait for the controller, as a share of the sockets: after an election, workers
+/// come together, and one that is turned away is back a second later.
+const INBOX_SHARE: f64 = 0.4;
 /// Users' requests that may wait, and how many are worked on at a time.
 const STAGE: usize = 128;
 const GATEWAYS: usize = 16;
@@ -47,7 +48,7 @@
 pub fn run(settings: Settings) -> anyhow::Result<()> {
     let settings = Arc::new(settings);
     let epoch = Instant::now();
-    let (inbox, messages) = bounded::<Message>(INBOX);
+    let (inbox, messages) = bounded::<Message>(share(&settings, INBOX_SHARE).max(STAGE));
     let (stage, tasks) = bounded::<Task>(STAGE);
 
     let (peer_inbox, peer_stage) = (inbox.clone(), stage.clone());
