--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -609,15 +609,17 @@
 
     fn report(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
         let now = self.now();
-        if !passed_on {
-            self.heard = now;
-        }
         let workers = &self.settings.cluster.workers;
         let doubt_s = (workers.cancel_s - workers.lease_s).max(0.0) * DOUBT_SHARE;
         let reply = match &mut self.role {
             Role::Leading(core) if now < core.valid_until + doubt_s => {
                 match core.report(&report, now) {
-                    Heard::Answer(answer) => Reply::json(200, &answer),
+                    Heard::Answer(answer) => {
+                        if !passed_on {
+                            self.heard = now;
+                        }
+                        Reply::json(200, &answer)
+                    }
                     Heard::Stale => Reply::error(503, "an older report"),
                     Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
                 }
@@ -640,6 +642,9 @@
     /// Sends a worker to the leader, or passes its report on if it has come back from there.
     fn redirect(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
         let now = self.now();
+        if !passed_on {
+            self.heard = now;
+        }
         let leader = self.leader.clone().filter(|l| *l != self.settings.name);
         let Some(leader) = leader.filter(|_| !passed_on) else {
             return respond(Reply::json(421, &Elsewhere { leader: None }));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -130,26 +130,36 @@
     }
 }
 
-/// Writes succeed at once; the names of tasks that are then launched directly.
-pub fn launched(core: &mut Core, now: f64) -> Vec<(String, u64)> {
-    let mut launched = Vec::new();
+/// Lets the core decide until it has nothing more to say. Writes succeed at once; other effects are
+/// handed to `other`.
+pub fn carry_out(core: &mut Core, now: f64, mut other: impl FnMut(&mut Core, Effect)) {
     core.step(now);
     loop {
         let effects = core.take_effects();
         if effects.is_empty() {
-            return launched;
+            return;
         }
         for effect in effects {
             match effect {
                 Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
-                Effect::Orders { orders, .. } => launched.extend(starts(&orders.commands)),
-                _ => {}
+                effect => other(core, effect),
             }
         }
         core.step(now);
     }
 }
 
+/// The names of tasks that are then launched directly.
+pub fn launched(core: &mut Core, now: f64) -> Vec<(String, u64)> {
+    let mut launched = Vec::new();
+    carry_out(core, now, |_, effect| {
+        if let Effect::Orders { orders, .. } = effect {
+            launched.extend(starts(&orders.commands));
+        }
+    });
+    launched
+}
+
 pub fn starts(commands: &[Command]) -> Vec<(String, u64)> {
     let start = |c: &Command| match c {
         Command::Start { task, attempt } => Some((task.clone(), *attempt)),
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -4,41 +4,31 @@
 
 use common::*;
 use stairstage::bookkeeping::records::OpenRecord;
-use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::coordination::core::{Core, Effect, Heard, Ordered};
 use stairstage::coordination::redirects::Redirects;
 use stairstage::protocol::cloud::{ListedMachine, MachineState};
 use stairstage::protocol::worker::*;
 use std::collections::BTreeMap;
 
-/// Carries effects out: writes succeed, direct commands get no answer. Returns the tasks that were
-/// launched so, and the machines that were given back.
+/// Carries effects out; direct commands get no answer. Returns the tasks that were launched so, and
+/// the machines that were given back.
 fn out_of_reach(core: &mut Core, now: f64) -> (Vec<String>, Vec<String>) {
     let (mut launches, mut returned) = (Vec::new(), Vec::new());
     core.tick(now);
-    core.step(now);
-    loop {
-        let effects = core.take_effects();
-        if effects.is_empty() {
-            return (launches, returned);
+    carry_out(core, now, |core, effect| match effect {
+        Effect::Orders {
+            machine, orders, ..
+        } => {
+            launches.extend(starts(&orders.commands).into_iter().map(|s| s.0));
+            core.ordered(&machine, Ordered::Unknown, now);
         }
-        for effect in effects {
-            match effect {
-                Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
-                Effect::Orders {
-                    machine, orders, ..
-                } => {
-                    launches.extend(starts(&orders.commands).into_iter().map(|s| s.0));
-                    core.ordered(&machine, Ordered::Unknown, now);
-                }
-                Effect::Return(names) => {
-                    core.returned(&names, true, now);
-                    returned.extend(names);
-                }
-                _ => {}
-            }
+        Effect::Return(names) => {
+            core.returned(&names, true, now);
+            returned.extend(names);
         }
-        core.step(now);
-    }
+        _ => {}
+    });
+    (launches, returned)
 }
 
 fn answered(core: &mut Core, report: &Report, now: f64) -> Vec<String> {
@@ -247,29 +237,18 @@
             0.0,
         );
     }
-    core.step(0.0);
-    loop {
-        let effects = core.take_effects();
-        if effects.is_empty() {
-            return (core, tasks);
-        }
-        for effect in effects {
-            match effect {
-                Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), 0.0),
-                Effect::Orders {
-                    machine, orders, ..
-                } => {
-                    let shown = shown(&starts(&orders.commands), TaskState::Running, None);
-                    let here = tasks.entry(machine.to_string()).or_default();
-                    here.extend(shown);
-                    let report = worker_report(&machine, 2, 1, here.clone());
-                    core.ordered(&machine, Ordered::Executed(report), 0.0);
-                }
-                _ => {}
-            }
+    carry_out(&mut core, 0.0, |core, effect| {
+        if let Effect::Orders {
+            machine, orders, ..
+        } = effect
+        {
+            let here = tasks.entry(machine.to_string()).or_default();
+            here.extend(shown(&starts(&orders.commands), TaskState::Running, None));
+            let report = worker_report(&machine, 2, 1, here.clone());
+            core.ordered(&machine, Ordered::Executed(report), 0.0);
         }
-        core.step(0.0);
-    }
+    });
+    (core, tasks)
 }
 
 fn machine_name(i: u64) -> String {
@@ -314,35 +293,24 @@
     assert_eq!(returned.len(), 30, "after a lease, and the silence");
 }
 
-/// Carries effects out as long as there are any: writes succeed, direct commands go unanswered by
-/// some machines. Returns which machines were sent any.
+/// Carries effects out; direct commands go unanswered by some machines, and wait at the others.
+/// Returns which machines were sent any.
 fn some_mute(core: &mut Core, mute: std::ops::Range<u64>, now: f64) -> Vec<String> {
     let mut commanded = Vec::new();
-    core.step(now);
-    loop {
-        let effects = core.take_effects();
-        if effects.is_empty() {
-            return commanded;
-        }
-        for effect in effects {
-            match effect {
-                Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
-                Effect::Orders {
-                    machine, orders, ..
-                } => {
-                    let is_mute = mute.clone().any(|i| *machine == machine_name(i));
-                    if !orders.commands.is_empty() {
-                        commanded.push(machine.to_string());
-                    }
-                    if is_mute {
-                        core.ordered(&machine, Ordered::Unknown, now);
-                    }
-                }
-                _ => {}
+    carry_out(core, now, |core, effect| {
+        if let Effect::Orders {
+            machine, orders, ..
+        } = effect
+        {
+            if !orders.commands.is_empty() {
+                commanded.push(machine.to_string());
+            }
+            if mute.clone().any(|i| *machine == machine_name(i)) {
+                core.ordered(&machine, Ordered::Unknown, now);
             }
         }
-        core.step(now);
-    }
+    });
+    commanded
 }
 
 #[test]
