--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -1,7 +1,7 @@
 //! Generated histories against stand-ins of the state service, the workers and the cloud, checked
 //! for the rules: lost answers, late and repeated messages, copies of reports, workers that hear
-//! nothing, machines that are back at once, new leaders, and former ones that still have the
-//! workers' ear.
+//! nothing, machines that are back at once or fall together, zones that are cut off, new leaders,
+//! and former ones that still have the workers' ear or that stood still between a check and its act.
 
 mod common;
 
@@ -109,8 +109,10 @@
     /// By task and attempt.
     tasks: BTreeMap<(String, u64), OnWorker>,
     renewed: f64,
-    /// Cut off from the controllers; heard, but out of reach; or gone for good.
+    /// Cut off from the controllers; from all but the former leader, which is in its zone; heard, but
+    /// out of reach; or gone for good.
     cut: bool,
+    with_former: bool,
     deaf: bool,
     gone: bool,
 }
@@ -127,6 +129,7 @@
             tasks: BTreeMap::new(),
             renewed: now,
             cut: false,
+            with_former: false,
             deaf: false,
             gone: false,
         }
@@ -257,6 +260,19 @@
     Cancel(u8),
     Submit(u8),
     NewLeader,
+    /// Machines stop with all that is on them: those whose bits are set.
+    Fall(u8),
+    /// The machines' zone is cut off, or is back; the former leader may be in it.
+    ZoneCut {
+        on: bool,
+        with_former: bool,
+    },
+    /// The leader stands still after it has decided, and after it has answered a worker; another is
+    /// elected meanwhile, and what was decided leaves then.
+    StandStill {
+        worker: u8,
+        tenths: u8,
+    },
     /// The other controllers promise, whose absence keeps leases in doubt.
     Promise,
 }
@@ -279,6 +295,9 @@
         2 => (0u8..6).prop_map(Step::Cancel),
         3 => (0u8..6).prop_map(Step::Submit),
         2 => Just(Step::NewLeader),
+        1 => (1u8..8).prop_map(Step::Fall),
+        2 => (any::<bool>(), any::<bool>()).prop_map(|(on, with_former)| Step::ZoneCut { on, with_former }),
+        2 => (0u8..3, 1u8..80).prop_map(|(worker, tenths)| Step::StandStill { worker, tenths }),
         1 => Just(Step::Promise),
     ]
 }
@@ -506,7 +525,8 @@
     /// A worker sends a report to the leader, or to the one before.
     fn report(&mut self, i: usize, answer_lost: bool, to_former: bool) {
         let sent = self.now;
-        if self.workers[i].gone || self.workers[i].cut {
+        let w = &self.workers[i];
+        if w.gone || w.cut && !(to_former && w.with_former) {
             return;
         }
         let doubt_s = self.doubt_s();
@@ -532,6 +552,53 @@
         }
     }
 
+    /// The leader answers a worker and decides, then stands still for so long. What it had decided
+    /// leaves when another leads already; the worker takes no answer after four seconds.
+    fn stand_still(&mut self, i: usize, seconds: f64) {
+        let (sent, w) = (self.now, &mut self.workers[i]);
+        let report = (!w.gone && !w.cut).then(|| w.report());
+        let heard = report.as_ref().map(|r| self.core.report(r, sent));
+        self.core.step(sent);
+        let decided = self.core.take_effects();
+        self.now += seconds;
+        self.expire();
+        self.elect();
+        if let (Some(report), Some(Heard::Answer(answer))) = (report, heard) {
+            let w = &mut self.workers[i];
+            let taken = answer.token >= w.token && report.session == w.session;
+            if taken && seconds < 4.0 && !w.gone && !w.deaf {
+                w.token = answer.token;
+                w.renewed = sent;
+                let started = w.run(&answer.commands);
+                self.started(i, started);
+            }
+        }
+        for effect in decided {
+            match effect {
+                Effect::Write { transaction, .. } => {
+                    let late = self.store.commit(&transaction);
+                    assert!(late.is_err(), "a former leader's write is applied");
+                }
+                Effect::Orders {
+                    machine, orders, ..
+                } => {
+                    let worker = self.workers.iter().position(|w| *w.name == *machine);
+                    let worker = worker.expect("a machine of this history");
+                    if !self.workers[worker].cut && !self.workers[worker].deaf {
+                        self.deliver(worker, &orders);
+                    }
+                }
+                Effect::Return(names) => {
+                    for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                        w.gone = true;
+                        w.tasks.clear();
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// For how long a leader that is cut off goes on answering after its lease.
     fn doubt_s(&self) -> f64 {
         let workers = &self.settings.cluster.workers;
@@ -618,6 +685,23 @@
             Step::Submit(n) => self.submit(n),
             Step::Cancel(n) => self.cancel(n),
             Step::NewLeader => self.elect(),
+            Step::Fall(bits) => {
+                for (i, w) in self.workers.iter_mut().enumerate() {
+                    if bits & (1 << i) != 0 {
+                        w.gone = true;
+                        w.tasks.clear();
+                    }
+                }
+            }
+            Step::ZoneCut { on, with_former } => {
+                for w in &mut self.workers {
+                    w.cut = on;
+                    w.with_former = with_former;
+                }
+            }
+            Step::StandStill { worker, tenths } => {
+                self.stand_still(worker as usize, f64::from(tenths) / 10.0);
+            }
             // Who promises leads no more, nor answers reports.
             Step::Promise => {
                 self.former = None;
