--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -262,8 +262,10 @@
     NewLeader,
     /// Machines stop with all that is on them: those whose bits are set.
     Fall(u8),
-    /// The machines' zone is cut off, or is back; the former leader may be in it.
+    /// The zone of the machines whose bits are set is cut off, or is back; the leader may be in it,
+    /// and then another is elected.
     ZoneCut {
+        bits: u8,
         on: bool,
         with_former: bool,
     },
@@ -296,7 +298,7 @@
         3 => (0u8..6).prop_map(Step::Submit),
         2 => Just(Step::NewLeader),
         1 => (1u8..8).prop_map(Step::Fall),
-        2 => (any::<bool>(), any::<bool>()).prop_map(|(on, with_former)| Step::ZoneCut { on, with_former }),
+        2 => (1u8..8, any::<bool>(), any::<bool>()).prop_map(|(bits, on, with_former)| Step::ZoneCut { bits, on, with_former }),
         2 => (0u8..3, 1u8..80).prop_map(|(worker, tenths)| Step::StandStill { worker, tenths }),
         1 => Just(Step::Promise),
     ]
@@ -552,6 +554,21 @@
         }
     }
 
+    /// For longer than a lease, those in the zone that is cut off report to the former leader, which
+    /// is there, and the others to the one that was elected.
+    fn live_on(&mut self, bits: u8) {
+        for _ in 0..8 {
+            self.now += self.settings.cluster.workers.report_s;
+            for i in 0..self.workers.len() {
+                self.report(i, false, bits & (1 << i) != 0);
+            }
+            self.expire();
+            self.core.tick(self.now);
+            self.core.step(self.now);
+            self.effects();
+        }
+    }
+
     /// The leader answers a worker and decides, then stands still for so long. What it had decided
     /// leaves when another leads already; the worker takes no answer after four seconds.
     fn stand_still(&mut self, i: usize, seconds: f64) {
@@ -693,10 +710,20 @@
                     }
                 }
             }
-            Step::ZoneCut { on, with_former } => {
-                for w in &mut self.workers {
-                    w.cut = on;
-                    w.with_former = with_former;
+            Step::ZoneCut {
+                bits,
+                on,
+                with_former,
+            } => {
+                for (i, w) in self.workers.iter_mut().enumerate() {
+                    if bits & (1 << i) != 0 {
+                        w.cut = on;
+                        w.with_former = with_former;
+                    }
+                }
+                if on && with_former {
+                    self.elect();
+                    self.live_on(bits);
                 }
             }
             Step::StandStill { worker, tenths } => {
