--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -36,30 +36,17 @@
     let mut now = 0.0;
     while tasks.iter().map(Vec::len).sum::<usize>() < 4 * machines as usize {
         now += 0.1;
-        core.step(now);
-        loop {
-            let effects = core.take_effects();
-            if effects.is_empty() {
-                break;
-            }
-            for effect in effects {
-                match effect {
-                    Effect::Write { id, transaction } => {
-                        changes += transaction.changes.len();
-                        core.written(id, Written::Applied(1000 + id), now);
-                    }
-                    Effect::Orders {
-                        machine, orders, ..
-                    } => {
-                        let i: usize = machine[2..].parse().unwrap();
-                        let started = starts(&orders.commands);
-                        tasks[i].extend(shown(&started, TaskState::Running, None));
-                    }
-                    _ => {}
-                }
+        carry_out_all(&mut core, now, |effect| match effect {
+            Effect::Write { transaction, .. } => changes += transaction.changes.len(),
+            Effect::Orders {
+                machine, orders, ..
+            } => {
+                let i: usize = machine[2..].parse().unwrap();
+                let started = starts(&orders.commands);
+                tasks[i].extend(shown(&started, TaskState::Running, None));
             }
-            core.step(now);
-        }
+            _ => {}
+        });
         assert!(now < 600.0, "the fleet does not fill");
     }
     for (i, tasks) in tasks.iter().enumerate() {
@@ -70,18 +57,70 @@
     (core, tasks, changes, now + 1.0)
 }
 
+fn effect_bytes(effect: &Effect) -> usize {
+    match effect {
+        Effect::Write { transaction, .. } => serde_json::to_vec(transaction).unwrap().len(),
+        Effect::Orders { orders, .. } => serde_json::to_vec(orders).unwrap().len(),
+        _ => 0,
+    }
+}
+
+#[test]
+fn a_launch_writes_no_more_in_a_large_fleet_than_a_record_holds() {
+    let (mut core, _, _, now) = full_fleet(2200);
+    report_of(&mut core, "m-new", 1, None, Vec::new(), now);
+    submit(&mut core, "req-9999", "sweep", "normal", None, 9999);
+    let (mut launched, mut most) = (0, 0);
+    for tenth in 0..20 {
+        let at = now + f64::from(tenth) / 10.0;
+        carry_out_all(&mut core, at, |effect| {
+            most = most.max(effect_bytes(effect));
+            if let Effect::Orders { orders, .. } = effect {
+                launched += starts(&orders.commands).len();
+            }
+        });
+    }
+    assert_eq!(launched, 4);
+    // One record of 16 KiB with what surrounds it, and conditions on the job's end and the leader.
+    assert!(most > 0 && most < 17 * 1024, "{most} bytes");
+}
+
+/// Like `carry_out`, but shows every effect.
+fn carry_out_all(core: &mut Core, now: f64, mut show: impl FnMut(&Effect)) {
+    core.step(now);
+    loop {
+        let effects = core.take_effects();
+        if effects.is_empty() {
+            return;
+        }
+        for effect in effects {
+            show(&effect);
+            if let Effect::Write { id, .. } = effect {
+                core.written(id, Written::Applied(100_000 + id), now);
+            }
+        }
+        core.step(now);
+    }
+}
+
 #[test]
 fn a_report_without_news_costs_the_same_in_any_fleet() {
-    let looks = |machines: u32| {
+    // Looks at machines and places, and bytes of what is answered and sent.
+    let cost = |machines: u32| {
         let (mut core, tasks, _, now) = full_fleet(machines);
         let before = core.looks();
+        let mut bytes = 0;
         for seq in 0..20 {
-            report_of(&mut core, "m-7", 3 + seq, None, tasks[7].clone(), now);
+            let answer = report_of(&mut core, "m-7", 3 + seq, None, tasks[7].clone(), now);
+            bytes += serde_json::to_vec(&answer).unwrap().len();
             core.step(now);
+            bytes += core.take_effects().iter().map(effect_bytes).sum::<usize>();
         }
-        core.looks() - before
+        (core.looks() - before, bytes)
     };
-    assert_eq!((looks(20), looks(2200)), (0, 0));
+    let small = cost(20);
+    assert_eq!(small.0, 0);
+    assert_eq!(small, cost(2200));
 }
 
 #[test]
