--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -130,9 +130,8 @@
     }
 }
 
-/// Lets the core decide until it has nothing more to say. Writes succeed at once; other effects are
-/// handed to `other`.
-pub fn carry_out(core: &mut Core, now: f64, mut other: impl FnMut(&mut Core, Effect)) {
+/// Lets the core decide until it has nothing more to say.
+pub fn each_effect(core: &mut Core, now: f64, mut take: impl FnMut(&mut Core, Effect)) {
     core.step(now);
     loop {
         let effects = core.take_effects();
@@ -140,15 +139,20 @@
             return;
         }
         for effect in effects {
-            match effect {
-                Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
-                effect => other(core, effect),
-            }
+            take(core, effect);
         }
         core.step(now);
     }
 }
 
+/// The same; writes succeed at once, and other effects are handed to `other`.
+pub fn carry_out(core: &mut Core, now: f64, mut other: impl FnMut(&mut Core, Effect)) {
+    each_effect(core, now, |core, effect| match effect {
+        Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
+        effect => other(core, effect),
+    });
+}
+
 /// The names of tasks that are then launched directly.
 pub fn launched(core: &mut Core, now: f64) -> Vec<(String, u64)> {
     let mut launched = Vec::new();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -87,20 +87,12 @@
 
 /// Like `carry_out`, but shows every effect.
 fn carry_out_all(core: &mut Core, now: f64, mut show: impl FnMut(&Effect)) {
-    core.step(now);
-    loop {
-        let effects = core.take_effects();
-        if effects.is_empty() {
-            return;
+    each_effect(core, now, |core, effect| {
+        show(&effect);
+        if let Effect::Write { id, .. } = effect {
+            core.written(id, Written::Applied(100 + id), now);
         }
-        for effect in effects {
-            show(&effect);
-            if let Effect::Write { id, .. } = effect {
-                core.written(id, Written::Applied(100_000 + id), now);
-            }
-        }
-        core.step(now);
-    }
+    });
 }
 
 #[test]
