Histories: a machine dies and takes an answer in one place each

Three copies of a machine's end and two of an answer's taking were in the stand-ins; no check changes.

--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -144,6 +144,19 @@
         self.renewed = now;
     }
 
+    /// It stops with all that is on it.
+    fn die(&mut self) {
+        self.gone = true;
+        self.tasks.clear();
+    }
+
+    /// Takes an answer to the report that it sent then; returns the tasks that started.
+    fn take(&mut self, answer: &ReportAnswer, sent: f64) -> Vec<String> {
+        self.token = answer.token;
+        self.renewed = sent;
+        self.run(&answer.commands)
+    }
+
     fn report(&mut self) -> Report {
         self.seq += 1;
         Report {
@@ -470,10 +483,7 @@
                 self.core.ordered(&machine, result, self.now);
             }
             Effect::Return(names) => {
-                for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
-                    w.gone = true;
-                    w.tasks.clear();
-                }
+                self.given_back(&names);
                 self.core.returned(&names, true, self.now);
             }
             Effect::Rent(rent) => self.core.rented(&rent.request, Some(Vec::new()), self.now),
@@ -500,6 +510,15 @@
         }
     }
 
+    /// The cloud has carried out a return.
+    fn given_back(&mut self, names: &[String]) {
+        let returned = |w: &&mut Worker| names.contains(&w.name);
+        self.workers
+            .iter_mut()
+            .filter(returned)
+            .for_each(Worker::die);
+    }
+
     /// A task completes; those of a gang do so together.
     fn finish(&mut self, task: &str) {
         let (job, _) = task.rsplit_once('/').unwrap();
@@ -542,9 +561,7 @@
         if let Heard::Answer(answer) = core.report(&report, sent) {
             let w = &mut self.workers[i];
             if !answer_lost && !w.deaf && answer.token >= w.token {
-                w.token = answer.token;
-                w.renewed = sent;
-                let started = w.run(&answer.commands);
+                let started = w.take(&answer, sent);
                 assert!(
                     !to_former || started.is_empty(),
                     "a leader in doubt starts {started:?}"
@@ -584,9 +601,7 @@
             let w = &mut self.workers[i];
             let taken = answer.token >= w.token && report.session == w.session;
             if taken && seconds < 4.0 && !w.gone && !w.deaf {
-                w.token = answer.token;
-                w.renewed = sent;
-                let started = w.run(&answer.commands);
+                let started = w.take(&answer, sent);
                 self.started(i, started);
             }
         }
@@ -605,12 +620,7 @@
                         self.deliver(worker, &orders);
                     }
                 }
-                Effect::Return(names) => {
-                    for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
-                        w.gone = true;
-                        w.tasks.clear();
-                    }
-                }
+                Effect::Return(names) => self.given_back(&names),
                 _ => {}
             }
         }
@@ -705,8 +715,7 @@
             Step::Fall(bits) => {
                 for (i, w) in self.workers.iter_mut().enumerate() {
                     if bits & (1 << i) != 0 {
-                        w.gone = true;
-                        w.tasks.clear();
+                        w.die();
                     }
                 }
             }
