Records fit the state service's limits of now and later; cuts of records carry names of their own

Cause: records were cut by today's value_kb and txn_ops; under state.next an old record of places or of completed tasks can't be rewritten. Now every record fits the smaller of both limits from the first moment; a record's number tells its cut, so no cut overwrites another's; places that an older leader's larger record holds move to others before it shrinks; a write that is refused for its size is cut smaller. A lower rate is taken on at the first 429.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -19,6 +19,13 @@
         }
     }
 
+    /// Allows less from now on.
+    pub fn lower(&mut self, rate: f64, burst: f64) {
+        self.rate = self.rate.min(rate);
+        self.burst = self.burst.min(burst);
+        self.level = self.level.min(self.burst);
+    }
+
     fn refill(&mut self, now: f64) {
         let passed = (now - self.at).max(0.0);
         self.level = (self.level + passed * self.rate).min(self.burst);
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -4,14 +4,14 @@
 //! - `open/ID`: the job was accepted, and its description; until its end
 //! - `end/ID`: how the job ended; write-once, kept for ever
 //! - `place/N`: places and attempts of tasks, of many jobs together
-//! - `run/ID/CHUNK`: which of a range of tasks have completed
+//! - `run/ID/N`: which of a range of tasks have completed, see [`Cut`]
 //! - `types`: the machine types that the cloud last told
 //!
 //! A job is accepted by writing `open/ID` while neither that nor `end/ID` is there: one change, and
 //! a copy of it that comes late finds one of the two. Machines have no records: a place names its
 //! machine, whose own report or the cloud's list tells the rest.
 
-use crate::protocol::job::{JobSpec, JobState};
+use crate::protocol::job::{JobSpec, JobState, MOST_TASKS};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -29,8 +29,8 @@
     format!("end/{id}")
 }
 
-pub fn run_key(id: &str, chunk: usize) -> String {
-    format!("{RUN}{id}/{chunk}")
+pub fn run_key(id: &str, number: usize) -> String {
+    format!("{RUN}{id}/{number}")
 }
 
 pub fn place_key(slab: usize) -> String {
@@ -42,10 +42,10 @@
     key.strip_prefix(PLACE)?.parse().ok()
 }
 
-/// Splits `run/ID/CHUNK` into its parts.
+/// Splits `run/ID/N` into its parts.
 pub fn parse_run_key(key: &str) -> Option<(&str, usize)> {
-    let (id, chunk) = key.strip_prefix(RUN)?.rsplit_once('/')?;
-    Some((id, chunk.parse().ok()?))
+    let (id, number) = key.strip_prefix(RUN)?.rsplit_once('/')?;
+    Some((id, number.parse().ok()?))
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -64,6 +64,26 @@
     pub cancelled: bool,
 }
 
+impl OpenRecord {
+    /// The record of a job that its user has taken back. Where it would be larger than a record may
+    /// be, as an old one is under smaller limits, it loses what only the placing of tasks needs.
+    pub fn taken_back(mut self, most_bytes: usize) -> OpenRecord {
+        self.cancelled = true;
+        if self.bytes() > most_bytes {
+            self.spec.types = None;
+            self.spec.zone = None;
+            self.spec.class = String::new();
+            self.spec.image = String::new();
+        }
+        self
+    }
+
+    /// The size of its text.
+    pub fn bytes(&self) -> usize {
+        serde_json::to_string(self).map_or(usize::MAX, |text| text.len())
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndRecord {
     pub state: JobState,
@@ -91,20 +111,70 @@
             _ => self.done.push((task, task)),
         }
     }
+
+    /// The size of its text at the most.
+    pub fn bytes(&self) -> usize {
+        let last = self.done.last().map_or(0, |(_, last)| *last);
+        EMPTY_BYTES + self.done.len() * 2 * (digits(last.into()) + 2)
+    }
+}
+
+/// How the tasks of a job are cut into records of what has completed. The number of a record tells
+/// its cut as well as its place in it, so that a record never holds less than one of the same name
+/// did before: whoever cuts otherwise, by other limits, has other names. Tasks are named absolutely,
+/// so any reader understands any cut. Versions to 0.1.0 counted from 0 whatever the cut was; what
+/// they have written is read, and never written anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    /// Tasks in one record.
+    pub tasks: usize,
+}
+
+/// The longest text that a completed task can take in a record, when only every other one is.
+const BYTES_A_TASK: usize = 8;
+const CUT: usize = MOST_TASKS as usize;
+
+impl Cut {
+    /// So many tasks that their record stays within so many bytes.
+    pub fn within(bytes: usize) -> Cut {
+        Cut {
+            tasks: (bytes / BYTES_A_TASK).max(1),
+        }
+    }
+
+    /// The number of the i-th record.
+    pub fn number(self, i: usize) -> usize {
+        self.tasks * CUT + i
+    }
+
+    /// Which record of this cut bears a number, if any.
+    pub fn position(self, number: usize) -> Option<usize> {
+        (number / CUT == self.tasks).then_some(number % CUT)
+    }
+}
+
+fn digits(n: u64) -> usize {
+    n.checked_ilog10().map_or(1, |d| d as usize + 1)
+}
+
+/// The bytes of a text in JSON, with its quotes.
+fn text_bytes(text: &str) -> usize {
+    let escaped = |b: u8| match b {
+        b'"' | b'\\' => 2,
+        0..0x20 => 6,
+        _ => 1,
+    };
+    2 + text.bytes().map(escaped).sum::<usize>()
 }
 
-/// The longest text that a place can take in a record: its job, its machine, its task's number and
-/// its attempt.
-const BYTES_A_PLACE: f64 = 64.0;
-/// The same for a completed task, when only every other one is.
-const BYTES_A_TASK: f64 = 8.0;
+/// What a record of places takes without any, and what it takes more for a job and for a place.
+pub const EMPTY_BYTES: usize = "{\"p\":{}}".len();
 
-/// How many places go into one record, so that it stays within the largest value.
-pub fn places_a_slab(value_kb: f64) -> usize {
-    ((value_kb * 1024.0 / BYTES_A_PLACE) as usize).max(1)
+pub fn job_bytes(id: &str) -> usize {
+    text_bytes(id) + ":{},".len()
 }
 
-/// How many tasks go into one record of what has completed.
-pub fn tasks_a_chunk(value_kb: f64) -> usize {
-    ((value_kb * 1024.0 / BYTES_A_TASK) as usize).max(1)
+pub fn place_bytes(machine: &str, task: u32, attempt: u64) -> usize {
+    let place = digits(task.into()) + digits(attempt) + "[,],".len();
+    text_bytes(machine) + ":[],".len() + place
 }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,8 @@
     Conflict(Vec<String>),
     /// It was not carried out: the service refuses this node, or is overloaded, or is not reached.
     Refused,
+    /// It never will be: a value or the whole is larger than the service takes.
+    TooLarge,
     /// The leadership lease named in it is over.
     NoLease,
     /// It may have been carried out, or may yet be.
@@ -46,6 +48,8 @@
     /// When it last answered anything, in milliseconds since `begun`.
     answered_ms: Arc<AtomicU64>,
     begun: Instant,
+    /// Whether it has ever refused a transaction for being one too many.
+    limited: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -54,9 +58,15 @@
             client: Client::new(remote, connections, MOST_BYTES),
             answered_ms: Arc::default(),
             begun: Instant::now(),
+            limited: Arc::default(),
         }
     }
 
+    /// Whether the service has refused a change, as it does beyond its rate.
+    pub fn is_limited(&self) -> bool {
+        self.limited.load(Ordering::Relaxed)
+    }
+
     /// When the service last answered, by whatever it said but that it is out of order.
     pub fn last_answer(&self, epoch: Instant) -> Duration {
         let since_begun = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
@@ -125,6 +135,10 @@
                     "the state service calls a transaction malformed: {}",
                     String::from_utf8_lossy(&body)
                 );
+                Outcome::TooLarge
+            }
+            Answer::Response(429, _) => {
+                self.limited.store(true, Ordering::Relaxed);
                 Outcome::Refused
             }
             Answer::Response(..) | Answer::NotSent => Outcome::Refused,
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -49,6 +49,8 @@
     Applied(u64),
     /// Surely not carried out.
     Refused,
+    /// Not carried out, and never will be: larger than the state service takes.
+    TooLarge,
     /// Perhaps carried out: the keys of its conditions, as read afterwards.
     Reread(Vec<(String, Option<Item>)>),
 }
@@ -139,8 +141,12 @@
     pub(super) hears_since: Time,
     /// Since when many machines have left commands unanswered: others may have fallen with them.
     pub(super) fall: Option<Time>,
-    pub(super) tasks_a_chunk: usize,
-    pub(super) places_a_slab: usize,
+    pub(super) cut: Cut,
+    /// What a record and a transaction may hold.
+    pub(super) record_bytes: usize,
+    pub(super) most_changes: usize,
+    /// Records of places that wait for others to take over some of what they told of.
+    pub(super) shrinking: BTreeSet<usize>,
 }
 
 pub(super) const WRITES_IN_FLIGHT: usize = 3;
@@ -211,12 +217,20 @@
             gap_ended: now,
             hears_since: now,
             fall: None,
-            tasks_a_chunk: tasks_a_chunk(c.state.value_kb),
-            places_a_slab: places_a_slab(c.state.value_kb),
+            cut: Cut::within(c.state.record_bytes()),
+            record_bytes: c.state.record_bytes(),
+            most_changes: c.state.changes(),
+            shrinking: BTreeSet::new(),
             settings,
         }
     }
 
+    /// The state service takes fewer changes than before: from now on the limits to come hold.
+    pub fn lower_rate(&mut self) {
+        let rate = self.settings.cluster.state.later_write_rps() * RECORD_SHARE;
+        self.budget.lower(rate, rate);
+    }
+
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
     }
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -110,7 +110,9 @@
                 self.lead(token, lease);
                 (self.news)(News::Deposed);
             }
-            Outcome::Unknown | Outcome::Refused => std::thread::sleep(self.lease / 8),
+            Outcome::Unknown | Outcome::Refused | Outcome::TooLarge => {
+                std::thread::sleep(self.lease / 8)
+            }
             Outcome::Conflict(_) | Outcome::NoLease => self.store.release(lease),
         }
     }
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -24,7 +24,7 @@
             return;
         }
         let tasks = record.spec.tasks as usize;
-        let chunks = tasks.div_ceil(self.tasks_a_chunk);
+        let chunks = tasks.div_ceil(self.cut.tasks);
         let spec = Arc::new(record.spec);
         if !record.cancelled {
             self.fleet.arrived(&spec, arrived);
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -3,6 +3,7 @@
 use super::core::*;
 use super::state::*;
 use super::Time;
+use crate::bookkeeping::records::Cut;
 use crate::protocol::worker::{Cause, Command, Orders};
 use std::collections::BTreeMap;
 use tracing::debug;
@@ -11,14 +12,9 @@
 const EXITED_A_MACHINE: usize = 4;
 
 /// Whether a task's completion is known here only: its worker must not forget it yet.
-pub(super) fn unrecorded(
-    jobs: &BTreeMap<Name, Job>,
-    id: &Name,
-    task: u32,
-    tasks_a_chunk: usize,
-) -> bool {
+pub(super) fn unrecorded(jobs: &BTreeMap<Name, Job>, id: &Name, task: u32, cut: Cut) -> bool {
     jobs.get(id).is_some_and(|j| {
-        let chunk = j.chunks.get(task as usize / tasks_a_chunk);
+        let chunk = j.chunks.get(task as usize / cut.tasks);
         !j.ended && chunk.is_some_and(|c| c.dirty.is_some() || c.in_flight)
     })
 }
@@ -33,7 +29,7 @@
         let (token, session_token) = (self.token, m.token);
         // A leader in doubt keeps tasks alive, but starts nothing.
         let starts = now < self.valid_until;
-        let chunk = self.tasks_a_chunk;
+        let cut = self.cut;
         let mut commands = Vec::new();
         for (key, place) in m.places.iter_mut() {
             if commands.len() >= MOST_COMMANDS {
@@ -69,7 +65,7 @@
                     // A launch that went straight to the worker may come again, and after a
                     // `forget` it would start the task anew.
                     let safe = place.orders_token.is_none_or(|t| session_token > t);
-                    let kept = cause == Cause::Done && unrecorded(&self.jobs, &key.0, key.1, chunk);
+                    let kept = cause == Cause::Done && unrecorded(&self.jobs, &key.0, key.1, cut);
                     if reply.is_some() && safe && !kept {
                         commands.push(Command::Forget { task, attempt });
                     }
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -16,7 +16,7 @@
 impl Core {
     /// Puts a task on a machine. The launch leaves once the record is written.
     pub(super) fn add_place(&mut self, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
-        let slab = self.choose_slab();
+        let slab = self.choose_slab(&key, machine);
         self.add_place_in(slab, key, machine, stage, now);
     }
 
@@ -68,7 +68,7 @@
     /// Enters a new place into a record.
     fn enter(&mut self, slab: usize, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
         let entry = &mut self.slabs[slab];
-        entry.entries.insert((key, machine.clone()));
+        entry.insert(key, machine.clone());
         match stage {
             Stage::Planned => {
                 self.urgent.insert(slab);
@@ -79,13 +79,50 @@
         }
     }
 
+    /// Moves places that a record is too small for into others, as after a leader whose records may
+    /// be larger. Until those are written, the old record stays as it is: what it told of must not be
+    /// forgotten in between.
+    pub(super) fn split_slab(&mut self, slab: usize, now: Time) {
+        while self.slabs[slab].bytes() > self.record_bytes && self.slabs[slab].entries().len() > 1 {
+            let last = self.slabs[slab].entries().last().cloned();
+            let entry = last.expect("more than one");
+            self.slabs[slab].remove(&entry);
+            let (key, machine) = entry;
+            let to = self.choose_slab(&key, &machine);
+            let slot = self.jobs.get_mut(&key.0);
+            let slot = slot.and_then(|j| j.tasks.get_mut(key.1 as usize));
+            let at = slot.and_then(|t| {
+                let held = |a: &&mut At| a.machine == machine && a.attempt == key.2;
+                t.at.iter_mut().find(held)
+            });
+            if let Some(at) = at {
+                at.slab = to;
+            }
+            let place = self.machines.get(&machine).and_then(|m| m.places.get(&key));
+            let stage = place.map_or(Stage::Started, |p| p.stage);
+            self.enter(to, key, &machine, stage, now);
+            self.slabs[slab].shrinks_after.insert(to);
+            self.shrinking.insert(slab);
+            self.slabs[slab].dirty.get_or_insert(now);
+        }
+    }
+
+    /// A record is written: those that waited for it to take over may shrink.
+    pub(super) fn taken_over(&mut self, by: usize) {
+        let slabs = &mut self.slabs;
+        self.shrinking.retain(|i| {
+            slabs[*i].shrinks_after.remove(&by);
+            !slabs[*i].shrinks_after.is_empty()
+        });
+    }
+
     /// The record that a new place goes into: the open one, until it is full or on its way.
-    fn choose_slab(&mut self) -> usize {
-        let most = self.places_a_slab;
-        let takes = |s: &Slab| !s.in_flight && s.entries.len() < most;
+    fn choose_slab(&mut self, key: &PlaceKey, machine: &Name) -> usize {
+        let most = self.record_bytes;
+        let takes = |s: &Slab| s.is_idle() && s.bytes() + s.bytes_for(key, machine) <= most;
         if !self.slabs.get(self.open_slab).is_some_and(takes) {
             let with_room = self.slabs.iter().enumerate().filter(|(_, s)| takes(s));
-            let emptiest = with_room.min_by_key(|(_, s)| s.entries.len());
+            let emptiest = with_room.min_by_key(|(_, s)| s.bytes());
             self.open_slab = emptiest.map_or(self.slabs.len(), |(i, _)| i);
             if self.open_slab == self.slabs.len() {
                 self.slabs.push(Slab::default());
@@ -99,7 +136,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let i = task as usize / self.tasks_a_chunk;
+        let i = task as usize / self.cut.tasks;
         let chunk = &mut job.chunks[i];
         if chunk.dirty.is_none() {
             chunk.dirty = Some(now);
@@ -134,7 +171,7 @@
         }
         self.stirred = true;
         let slab = &mut self.slabs[at.slab];
-        if slab.entries.remove(&(key.clone(), machine.clone())) {
+        if slab.remove(&(key.clone(), machine.clone())) {
             slab.dirty.get_or_insert(now);
         }
         self.drop_ended(id);
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -30,7 +30,7 @@
             self.job_opened(record, version, wall_ms, now);
         }
         for item in records.run {
-            let Some((id, chunk)) = parse_run_key(&item.key) else {
+            let Some((id, number)) = parse_run_key(&item.key) else {
                 continue;
             };
             let id: Name = id.into();
@@ -42,7 +42,7 @@
             let Some(record) = Self::decode::<RunRecord>(&item.key, item.value) else {
                 continue;
             };
-            self.recover_chunk(&id, chunk, record, item.version);
+            self.recover_chunk(&id, number, record, item.version);
         }
         for item in records.places {
             let Some(slab) = parse_place_key(&item.key) else {
@@ -56,6 +56,9 @@
                 self.recover_slab(slab, record, now);
             }
         }
+        for slab in 0..self.slabs.len() {
+            self.split_slab(slab, now);
+        }
         info!(
             "leads with token {}: {} open jobs, places on {} machines",
             self.token,
@@ -70,20 +73,31 @@
         self.job_open(record, version, now, now - age_s);
     }
 
-    fn recover_chunk(&mut self, id: &Name, chunk: usize, record: RunRecord, version: u64) {
+    fn recover_chunk(&mut self, id: &Name, number: usize, record: RunRecord, version: u64) {
         for (first, last) in &record.done {
             for task in *first..=*last {
                 self.recover_done(id, task);
             }
         }
-        if let Some(c) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(chunk)) {
-            c.version = version;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match self.cut.position(number) {
+            Some(i) => {
+                if let Some(chunk) = job.chunks.get_mut(i) {
+                    chunk.version = version;
+                }
+            }
+            // Never written here, as it may tell of tasks that our records of such a number do not.
+            None => job.other_cuts.push(number),
         }
     }
 
     fn recover_slab(&mut self, slab: usize, record: PlaceRecord, now: Time) {
+        let mut told = 0;
         for (id, machines) in record.places {
             let id: Name = id.as_str().into();
+            told += machines.values().map(Vec::len).sum::<usize>();
             if !self.jobs.contains_key(&id) {
                 continue;
             }
@@ -95,7 +109,8 @@
                 }
             }
         }
-        // What it holds of jobs that are over goes with its next writing.
-        self.slabs[slab].dirty = Some(now);
+        // What it holds of jobs that are over, or what another holds too, goes with its next writing.
+        let slab = &mut self.slabs[slab];
+        slab.dirty = (slab.entries().len() < told).then_some(now);
     }
 }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -224,8 +224,7 @@
                     // Only an attempt of an earlier token can be forgotten safely: a late copy of
                     // its launch would start it anew.
                     let earlier = (attempt >> 20) < self.first_token;
-                    let recorded =
-                        key.is_none_or(|k| !unrecorded(&self.jobs, &k.0, k.1, self.tasks_a_chunk));
+                    let recorded = key.is_none_or(|k| !unrecorded(&self.jobs, &k.0, k.1, self.cut));
                     if recorded && (earlier || r.token > self.first_token) {
                         commands.push(Command::Forget { task, attempt });
                     }
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -2,6 +2,7 @@
 
 use super::predict::corrected;
 use super::Time;
+use crate::bookkeeping::records::{job_bytes, place_bytes, EMPTY_BYTES};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobSpec, Kind, Priority};
 use crate::protocol::worker::{Cause, TaskState};
@@ -98,10 +99,59 @@
 #[derive(Debug, Default)]
 pub struct Slab {
     pub version: u64,
-    pub entries: BTreeSet<(PlaceKey, Name)>,
+    entries: BTreeSet<(PlaceKey, Name)>,
+    /// What its record takes, beyond that of an empty one.
+    bytes: usize,
     /// Since when it holds what is gone, or lacks what no launch waits for.
     pub dirty: Option<Time>,
     pub in_flight: bool,
+    /// Other records that take over some of what this one told of. Until they are written, its old
+    /// record must stay as it is.
+    pub shrinks_after: BTreeSet<usize>,
+}
+
+impl Slab {
+    pub fn entries(&self) -> &BTreeSet<(PlaceKey, Name)> {
+        &self.entries
+    }
+
+    fn holds_job(&self, id: &Name) -> bool {
+        let first: (PlaceKey, Name) = ((id.clone(), 0, 0), "".into());
+        let next = self.entries.range(first..).next();
+        next.is_some_and(|((other, ..), _)| other == id)
+    }
+
+    pub fn insert(&mut self, key: PlaceKey, machine: Name) {
+        self.bytes += self.bytes_for(&key, &machine);
+        self.entries.insert((key, machine));
+    }
+
+    pub fn remove(&mut self, entry: &(PlaceKey, Name)) -> bool {
+        let held = self.entries.remove(entry);
+        if held {
+            self.bytes -= self.bytes_for(&entry.0, &entry.1);
+        }
+        held
+    }
+
+    /// What a new place adds to the record.
+    pub fn bytes_for(&self, key: &PlaceKey, machine: &Name) -> usize {
+        let job = match self.holds_job(&key.0) {
+            true => 0,
+            false => job_bytes(&key.0),
+        };
+        job + place_bytes(machine, key.1, key.2)
+    }
+
+    /// The size of its record at the most.
+    pub fn bytes(&self) -> usize {
+        EMPTY_BYTES + self.bytes
+    }
+
+    /// Whether it can be written now.
+    pub fn is_idle(&self) -> bool {
+        !self.in_flight && self.shrinks_after.is_empty()
+    }
 }
 
 /// The users' check at the end of a day: a class's largest jobs begin within this time; and the
@@ -121,6 +171,8 @@
     pub live: u32,
     pub running: u32,
     pub chunks: Vec<Chunk>,
+    /// Records of completed tasks in other cuts, which others wrote; they go when it ends.
+    pub other_cuts: Vec<usize>,
     /// Its user has cancelled it; its places are being cleared.
     pub cancelled: bool,
     pub end_in_flight: bool,
@@ -155,6 +207,7 @@
             live: 0,
             running: 0,
             chunks: vec![Chunk::default(); chunks],
+            other_cuts: Vec::new(),
             cancelled: false,
             end_in_flight: false,
             ended: false,
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -9,6 +9,7 @@
 };
 use crate::protocol::job::JobState;
 use crate::protocol::store::{Item, Transaction};
+use crate::settings::CONDITIONS_A_CHANGE;
 use std::collections::BTreeSet;
 use tracing::{info, warn};
 
@@ -16,8 +17,6 @@
 /// longer while the budget is short. What a worker has not been told to forget is not lost.
 const RECORD_LAG: f64 = 0.5;
 const SCARCE: f64 = 2.0;
-/// A transaction may have so many conditions for each change that it may have.
-const CONDITIONS_A_CHANGE: usize = 4;
 /// The share of the budget's burst that removals leave, and how many may be put off.
 const REMOVAL_LEVEL: f64 = 0.75;
 const MOST_STALE: usize = 1000;
@@ -99,7 +98,7 @@
         let mut record = PlaceRecord::default();
         let mut planned = Vec::new();
         let mut jobs: BTreeSet<&Name> = BTreeSet::new();
-        for entry in &self.slabs[slab].entries {
+        for entry in self.slabs[slab].entries() {
             let ((id, task, attempt), machine) = entry;
             let place = self
                 .machines
@@ -126,14 +125,15 @@
         }
         let scarce = self.scarce(now);
         let lag = self.record_lag();
-        let idle = |i: &usize| !self.slabs[*i].in_flight;
-        let stale = |s: &Slab| !s.in_flight && s.dirty.is_some_and(|t| now - t > lag);
+        let idle = |i: &usize| self.slabs[*i].is_idle();
+        let stale = |s: &Slab| s.is_idle() && s.dirty.is_some_and(|t| now - t > lag);
         let urgent = self.urgent.iter().copied().find(idle);
         let late = || self.slabs.iter().position(stale).filter(|_| !scarce);
         let Some(i) = urgent.or_else(late) else {
             return false;
         };
-        let most_jobs = CONDITIONS_A_CHANGE * self.settings.cluster.state.txn_ops - 2;
+        // Two conditions are about the leader and the record itself.
+        let most_jobs = CONDITIONS_A_CHANGE * self.most_changes - 2;
         let (record, sent) = self.slab_record(i, most_jobs);
         let value = serde_json::to_value(&record).expect("plain data");
         let mut txn = self
@@ -169,10 +169,15 @@
 
     fn chunk_record(&self, job: &Job, chunk: usize) -> RunRecord {
         let mut record = RunRecord::default();
-        let first = chunk * self.tasks_a_chunk;
-        let last = (first + self.tasks_a_chunk).min(job.tasks.len());
+        let first = chunk * self.cut.tasks;
+        let last = (first + self.cut.tasks).min(job.tasks.len());
         for t in (first..last).filter(|t| job.tasks[*t].done) {
             record.push_done(t as u32);
+            // What it does not tell is done again, at worst: a worker keeps the result.
+            if record.bytes() > self.record_bytes {
+                record.done.pop();
+                break;
+            }
         }
         record
     }
@@ -190,7 +195,7 @@
     fn write_chunks(&mut self, now: Time) -> bool {
         let lag = self.record_lag() * if self.scarce(now) { SCARCE } else { 1.0 };
         let room = self.budget.level(now) as usize;
-        let most = self.settings.cluster.state.txn_ops.min(room);
+        let most = self.most_changes.min(room);
         let mut txn = self.begin();
         let mut chunks: Vec<(Name, usize)> = Vec::new();
         let mut later = Vec::new();
@@ -213,9 +218,8 @@
             }
             let value = serde_json::to_value(self.chunk_record(job, i)).expect("plain data");
             bytes += value.to_string().len();
-            txn = txn
-                .version(run_key(&id, i), job.chunks[i].version)
-                .put(run_key(&id, i), value);
+            let key = run_key(&id, self.cut.number(i));
+            txn = txn.version(&*key, job.chunks[i].version).put(key, value);
             chunks.push((id, i));
         }
         for entry in later.into_iter().rev() {
@@ -241,7 +245,7 @@
     }
 
     pub(super) fn write_removals(&mut self, now: Time) -> bool {
-        let ops = self.settings.cluster.state.txn_ops;
+        let ops = self.most_changes;
         let keys: Vec<String> = self.stale_keys.iter().take(ops).cloned().collect();
         // Nothing hurries them: they leave room for what does, until they are too many.
         let scarce = self.budget.level(now) < self.budget.burst() * REMOVAL_LEVEL;
@@ -270,6 +274,10 @@
         let Some(what) = self.in_flight.remove(&id) else {
             return;
         };
+        let too_large = matches!(result, Written::TooLarge);
+        if too_large {
+            self.write_smaller(&what, now);
+        }
         let applied = match &result {
             Written::Applied(revision) => Some(*revision),
             _ => None,
@@ -285,7 +293,7 @@
             chunk.in_flight = false;
             match applied {
                 Some(revision) => chunk.version = revision,
-                None => self.touch(&id, (i * self.tasks_a_chunk) as u32, now),
+                None => self.touch(&id, (i * self.cut.tasks) as u32, now),
             }
         }
         if applied.is_none() {
@@ -302,11 +310,29 @@
         }
         match result {
             Written::Applied(_) => {}
-            Written::Refused => self.write_pause = now + 0.25,
+            Written::Refused | Written::TooLarge => self.write_pause = now + 0.25,
             Written::Reread(items) => self.reread(items, now),
         }
     }
 
+    /// The state service takes less than its limits, as we know them, allow. What was too large is
+    /// cut smaller, since it would be refused for ever; so is what comes after it.
+    fn write_smaller(&mut self, what: &InFlight, now: Time) {
+        self.most_changes = (self.most_changes / 2).max(1);
+        let slabs = what.slabs.iter().map(|(i, _)| self.slabs[*i].bytes());
+        let largest = slabs.max().filter(|bytes| *bytes <= self.record_bytes);
+        if let Some(bytes) = largest.or((what.chunks.len() == 1).then_some(self.record_bytes)) {
+            self.record_bytes = bytes / 2;
+        }
+        warn!(
+            "a write is too large: from now on {} changes, of {} bytes each",
+            self.most_changes, self.record_bytes
+        );
+        for (i, _) in &what.slabs {
+            self.split_slab(*i, now);
+        }
+    }
+
     /// The places that a slab has made known may be launched now.
     fn slab_written(
         &mut self,
@@ -322,6 +348,7 @@
             return;
         };
         self.slabs[slab].version = revision;
+        self.taken_over(slab);
         for (key, machine) in planned {
             let cancelled = self.jobs.get(&key.0).is_none_or(|j| j.cancelled);
             let m = self.machines.get_mut(&machine);
@@ -332,7 +359,7 @@
             }
         }
         // Those that the last writing had no conditions for.
-        let waits = self.slabs[slab].entries.iter().any(|(key, machine)| {
+        let waits = self.slabs[slab].entries().iter().any(|(key, machine)| {
             let place = self.machines.get(machine).and_then(|m| m.places.get(key));
             place.is_some_and(|p| p.stage == Stage::Planned)
         });
@@ -364,7 +391,10 @@
         self.over.remove(id);
         let stored = job.chunks.iter().enumerate().filter(|(_, c)| c.version > 0);
         for (i, _) in stored {
-            self.stale_keys.insert(run_key(id, i));
+            self.stale_keys.insert(run_key(id, self.cut.number(i)));
+        }
+        for number in &job.other_cuts {
+            self.stale_keys.insert(run_key(id, *number));
         }
         let left: Vec<(u32, Name, u64)> = Self::live_places(job).collect();
         for (task, machine, attempt) in left {
@@ -393,7 +423,8 @@
                 }
             } else if let Some(slab) = parse_place_key(&key).and_then(|i| self.slabs.get_mut(i)) {
                 slab.version = version;
-            } else if let Some((id, i)) = parse_run_key(&key) {
+            } else if let Some((id, number)) = parse_run_key(&key) {
+                let i = self.cut.position(number).unwrap_or(usize::MAX);
                 let chunk = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(i));
                 if let Some(chunk) = chunk {
                     chunk.version = version;
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -219,6 +219,9 @@
             return;
         };
         if tick {
+            if self.links.store.is_limited() {
+                core.lower_rate();
+            }
             core.tick(now);
             if now - self.listed >= list_pause_s(&self.settings, core.machine_count()) {
                 self.listed = now;
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -278,6 +278,18 @@
             at_ms: wall_ms(),
             cancelled: false,
         };
+        let most_bytes = self.settings.cluster.state.record_bytes();
+        if record.bytes() > most_bytes {
+            let why = format!(
+                "the description takes {} bytes in the records, of at most {most_bytes}",
+                record.bytes()
+            );
+            // A version that may write more can have accepted it.
+            return Ok(match self.recorded(&spec.id)? {
+                Some(status) => Reply::json(200, &status),
+                None => Reply::error(400, why),
+            });
+        }
         let txn = Transaction::default()
             .absent(open_key(&spec.id))
             .absent(end_key(&spec.id))
@@ -301,7 +313,7 @@
                         None => Reply::later("the job is just being accepted"),
                     });
                 }
-                Outcome::Refused | Outcome::NoLease => return Err(Unavailable),
+                Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
                 Outcome::Unknown => {}
             }
         }
@@ -314,7 +326,7 @@
         })
         .expect("plain data");
         for _ in 0..TRIES {
-            let Some((mut record, version)) = self.store.read::<OpenRecord>(&open_key(id))? else {
+            let Some((record, version)) = self.store.read::<OpenRecord>(&open_key(id))? else {
                 match self.recorded(id)? {
                     Some(s) if s.state != JobState::Pending => return Ok(Reply::json(200, &s)),
                     Some(_) => continue,
@@ -324,7 +336,7 @@
             if record.cancelled {
                 return Ok(self.cancelled(id));
             }
-            record.cancelled = true;
+            let record = record.taken_back(self.settings.cluster.state.record_bytes());
             let txn = Transaction::default()
                 .absent(end_key(id))
                 .version(open_key(id), version)
@@ -337,7 +349,7 @@
                 Outcome::Applied(_) => return Ok(self.cancelled(id)),
                 // Ended meanwhile, or cancelled by a try whose answer was lost.
                 Outcome::Conflict(_) | Outcome::Unknown => {}
-                Outcome::Refused | Outcome::NoLease => return Err(Unavailable),
+                Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
             }
         }
         Err(Unavailable)
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -18,8 +18,6 @@
 
 /// Polls that may wait.
 const WAITING: usize = 512;
-/// A transaction may have so many conditions for each change that it may have.
-const CONDITIONS_A_CHANGE: usize = 4;
 /// The share of the state service's requests that polls may take.
 const REQUESTS_SHARE: f64 = 0.25;
 
@@ -46,7 +44,7 @@
 ) -> anyhow::Result<Polls> {
     let (tx, rx) = bounded(WAITING);
     let state = &settings.cluster.state;
-    let most = CONDITIONS_A_CHANGE * state.txn_ops;
+    let most = state.conditions();
     let pause = Duration::from_secs_f64(1.0 / (REQUESTS_SHARE * state.rps));
     let (store, controller) = (store.clone(), controller.clone());
     spawn("polls", move || {
@@ -84,7 +82,9 @@
                     }
                     Ok(None) | Err(Unavailable) => later(),
                 },
-                Outcome::Refused | Outcome::NoLease | Outcome::Unknown => later(),
+                Outcome::Refused | Outcome::TooLarge | Outcome::NoLease | Outcome::Unknown => {
+                    later()
+                }
             };
             respond(reply);
         }
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -65,8 +65,9 @@
     }
     let pause = Duration::from_secs_f64(settings.cluster.cloud.list_lag_s.max(1.0) * 4.0);
     let (store, types, types_inbox) = (store.clone(), types.clone(), inbox.clone());
+    let most_bytes = settings.cluster.state.record_bytes();
     spawn("types", move || {
-        follow_types(&client, &store, &types, &types_inbox, pause)
+        follow_types(&client, &store, &types, &types_inbox, pause, most_bytes)
     })?;
     Ok(Pool {
         inbox: inbox.clone(),
@@ -112,6 +113,7 @@
         let result = match store.commit(&transaction) {
             Outcome::Applied(revision) => Written::Applied(revision),
             Outcome::Refused | Outcome::NoLease => Written::Refused,
+            Outcome::TooLarge => Written::TooLarge,
             Outcome::Conflict(failed) => Written::Reread(reread(store, &failed)),
             Outcome::Unknown => Written::Reread(reread(store, &written_keys(&transaction))),
         };
@@ -187,6 +189,7 @@
     shared: &SharedTypes,
     inbox: &Sender<Message>,
     pause: Duration,
+    most_bytes: usize,
 ) {
     let mut known: Vec<MachineType> = Vec::new();
     let mut recorded: Option<Vec<MachineType>> = None;
@@ -217,7 +220,13 @@
                 types.len(),
                 old.len()
             );
-            if let Outcome::Applied(_) = store.commit(&Transaction::default().put(TYPES, value)) {
+            // Types that no record can hold are known only while the cloud tells them.
+            if value.to_string().len() > most_bytes {
+                warn!("{} machine types are too many to record", types.len());
+                recorded = Some(types.clone());
+            } else if let Outcome::Applied(_) =
+                store.commit(&Transaction::default().put(TYPES, value))
+            {
                 recorded = Some(types.clone());
             }
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -62,6 +62,49 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+/// Limits that the state service will have from some moment on, which it does not tell.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextState {
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+/// The share of the largest value that a record may fill as we write it. How the service counts
+/// the bytes is not known: with a space behind each colon and comma they are a tenth more.
+const VALUE_SHARE: f64 = 0.85;
+/// A transaction may have so many conditions for each change that it may have.
+pub const CONDITIONS_A_CHANGE: usize = 4;
+
+impl State {
+    /// Bytes that a record may have. What is written now must still be accepted when it is written
+    /// anew under the limits to come, so the smaller ones always hold.
+    pub fn record_bytes(&self) -> usize {
+        let next = self.next.as_ref().and_then(|n| n.value_kb);
+        let kb = next.map_or(self.value_kb, |kb| kb.min(self.value_kb));
+        (kb * 1024.0 * VALUE_SHARE) as usize
+    }
+
+    /// Changes in one transaction, now and later.
+    pub fn changes(&self) -> usize {
+        let next = self.next.as_ref().and_then(|n| n.txn_ops);
+        next.map_or(self.txn_ops, |ops| ops.min(self.txn_ops))
+    }
+
+    /// Conditions in one transaction, now and later.
+    pub fn conditions(&self) -> usize {
+        CONDITIONS_A_CHANGE * self.changes()
+    }
+
+    /// Changes a second once the limits to come hold.
+    pub fn later_write_rps(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|n| n.write_rps);
+        next.map_or(self.write_rps, |rate| rate.min(self.write_rps))
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -88,6 +131,9 @@
     pub limits: Limits,
 }
 
+/// A transaction must take at least so many changes, and as many times more conditions.
+const LEAST_CHANGES: usize = 4;
+
 /// What the platform hands over.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -172,7 +218,13 @@
             ("settings.cloud.rps", c.cloud.rps),
             ("settings.limits.ram_mb", c.limits.ram_mb),
         ];
-        for (field, value) in positive {
+        let next = c.state.next.clone().unwrap_or_default();
+        let later = [
+            ("settings.state.next.write_rps", next.write_rps),
+            ("settings.state.next.value_kb", next.value_kb),
+        ];
+        let later = later.iter().filter_map(|(f, v)| v.map(|v| (*f, v)));
+        for (field, value) in positive.into_iter().chain(later) {
             if !value.is_finite() || value <= 0.0 {
                 return invalid(field, value.to_string(), "must be above 0");
             }
@@ -185,10 +237,15 @@
                 "must be 0 or more",
             );
         }
-        // A launch changes a task record and a machine record in one transaction.
-        if c.state.txn_ops < 4 {
-            let value = c.state.txn_ops.to_string();
-            return invalid("settings.state.txn_ops", value, "must be 4 or more");
+        let ops = [
+            ("settings.state.txn_ops", Some(c.state.txn_ops)),
+            ("settings.state.next.txn_ops", next.txn_ops),
+        ];
+        for (field, value) in ops {
+            if let Some(value) = value.filter(|n| *n < LEAST_CHANGES) {
+                let why = format!("must be {LEAST_CHANGES} or more");
+                return invalid(field, value.to_string(), &why);
+            }
         }
         if c.limits.max_sockets < 64 {
             let value = c.limits.max_sockets.to_string();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use stairstage::coordination::core::{Core, Effect, Written};
+use stairstage::coordination::core::{Core, Effect, Ordered, Written};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
 use stairstage::transport::front::{self, Bounds};
@@ -89,8 +89,14 @@
 fn carry_out_all(core: &mut Core, now: f64, mut show: impl FnMut(&Effect)) {
     each_effect(core, now, |core, effect| {
         show(&effect);
-        if let Effect::Write { id, .. } = effect {
-            core.written(id, Written::Applied(100 + id), now);
+        match effect {
+            Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
+            // Its answer shows nothing that is not known.
+            Effect::Orders { machine, .. } => {
+                let known = worker_report(&machine, 0, 1, Vec::new());
+                core.ordered(&machine, Ordered::Executed(known), now);
+            }
+            _ => {}
         }
     });
 }
