--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -55,15 +55,66 @@
 
 /// An accepted job that has not ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredOpen", into = "StoredOpen")]
 pub struct OpenRecord {
     pub spec: JobSpec,
     /// When it was accepted, in milliseconds of the time of day.
     pub at_ms: u64,
     /// Its user has taken it back, and its places are being cleared.
-    #[serde(default)]
     pub cancelled: bool,
 }
 
+/// How it is written. A version that does not know of waiting would start the job at once, so such a
+/// job allows no machine type as far as that version can read: it keeps it pending.
+#[derive(Serialize, Deserialize)]
+struct StoredOpen {
+    spec: JobSpec,
+    at_ms: u64,
+    #[serde(default)]
+    cancelled: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    waits: Option<Waits>,
+}
+
+/// What a job waits for, and which machine types it then allows.
+#[derive(Serialize, Deserialize)]
+struct Waits {
+    on: Vec<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    types: Option<Vec<String>>,
+}
+
+impl From<StoredOpen> for OpenRecord {
+    fn from(stored: StoredOpen) -> OpenRecord {
+        let mut spec = stored.spec;
+        if let Some(waits) = stored.waits {
+            spec.waits_on = waits.on;
+            spec.types = waits.types;
+        }
+        OpenRecord {
+            spec,
+            at_ms: stored.at_ms,
+            cancelled: stored.cancelled,
+        }
+    }
+}
+
+impl From<OpenRecord> for StoredOpen {
+    fn from(record: OpenRecord) -> StoredOpen {
+        let mut spec = record.spec;
+        let waits = (!spec.waits_on.is_empty()).then(|| Waits {
+            on: std::mem::take(&mut spec.waits_on),
+            types: spec.types.replace(Vec::new()),
+        });
+        StoredOpen {
+            spec,
+            at_ms: record.at_ms,
+            cancelled: record.cancelled,
+            waits,
+        }
+    }
+}
+
 impl OpenRecord {
     /// The record of a job that its user has taken back. Where it would be larger than a record may
     /// be, as an old one is under smaller limits, it loses what only the placing of tasks needs.
@@ -72,6 +123,7 @@
         if self.bytes() > most_bytes {
             self.spec.types = None;
             self.spec.zone = None;
+            self.spec.waits_on = Vec::new();
             self.spec.class = String::new();
             self.spec.image = String::new();
         }
@@ -87,6 +139,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndRecord {
     pub state: JobState,
+    /// When it was written, in milliseconds of the time of day. Earlier versions did not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at_ms: Option<u64>,
 }
 
 /// Completed tasks as ranges (first, last).
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -41,6 +41,8 @@
         id: Name,
         state: JobState,
     },
+    /// Look up how these jobs ended.
+    FindEnds(Vec<Name>),
 }
 
 /// What became of a write.
@@ -107,8 +109,12 @@
     pub(super) open_slab: usize,
     /// Records of completed tasks that are out of date, the oldest first.
     pub(super) lagging: VecDeque<(Time, Name, usize)>,
-    /// Jobs of which nothing is left but the record of their end.
-    pub(super) over: BTreeSet<Name>,
+    /// Jobs of which nothing is left but the record of their end; false for those that others wait
+    /// for, or must end with, which come first.
+    pub(super) over: BTreeSet<(bool, Name)>,
+    pub(super) pipelines: super::pipelines::Pipelines,
+    /// The time of day when our clock was at 0, in milliseconds.
+    pub(super) day_ms: f64,
     /// Machines for which there may be something to say that should not wait for their reports.
     pub(super) to_order: BTreeSet<Name>,
     /// Whether anything has changed that a pass could use, when the last one was, and before when
@@ -195,6 +201,8 @@
             open_slab: 0,
             lagging: VecDeque::new(),
             over: BTreeSet::new(),
+            pipelines: Default::default(),
+            day_ms: 0.0,
             to_order: BTreeSet::new(),
             stirred: true,
             passed_at: 0.0,
@@ -310,6 +318,7 @@
                 self.schedule(now);
             }
         }
+        self.seek_ends(now);
         self.flush(now);
         self.send_orders(now);
         passed
@@ -351,6 +360,15 @@
         self.promised = Some(now);
     }
 
+    /// The moment of our clock that a time of day was, as far as clocks agree.
+    pub(super) fn time_of(&self, wall_ms: u64) -> Time {
+        (wall_ms as f64 - self.day_ms) / 1000.0
+    }
+
+    pub(super) fn wall_ms(&self, now: Time) -> u64 {
+        (self.day_ms + 1000.0 * now).max(0.0) as u64
+    }
+
     pub(super) fn team(&self, name: &str) -> Option<&Team> {
         self.settings.team(name)
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -174,12 +174,13 @@
             .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(&job.spec.class))
             .filter_map(|o| o.within_s)
             .fold(f64::INFINITY, f64::min);
-        let due = job.spec.deadline_s.unwrap_or(f64::INFINITY).min(within);
+        let due = job.due.as_ref().map_or(f64::INFINITY, Due::latest);
+        let end = due.min(job.ready + within);
         let predicted = job.predicted_s.max(1.0);
-        if !due.is_finite() {
+        if !end.is_finite() {
             return 2.0 * predicted;
         }
-        (HORIZON_SHARE * (due - (now - job.arrived))).max(predicted)
+        (HORIZON_SHARE * (end - now)).max(predicted)
     }
 
     /// What is wanted beyond the machines that are up or coming.
@@ -212,7 +213,7 @@
         for job in self
             .jobs
             .values()
-            .filter(|j| j.is_service() && !j.cancelled)
+            .filter(|j| j.is_service() && j.may_begin())
         {
             let count = self.wanted(job, job.unplaced_count());
             let left = absorb(&job.need(), job.spec.spot, count);
@@ -284,7 +285,7 @@
         let mut batches: Vec<&Job> = self
             .jobs
             .values()
-            .filter(|j| !j.is_service() && !j.cancelled && now >= j.retry_at)
+            .filter(|j| !j.is_service() && j.may_begin() && now >= j.retry_at)
             .collect();
         batches.sort_by_key(|j| j.seq);
         let boots = self.types.iter().map(|t| t.boot_s);
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -38,13 +38,21 @@
                     .predict(&Self::owner(&job), spec.estimate_s, spec.cpus);
         }
         debug!("{id}: known, class {}, {tasks} tasks", job.spec.class);
-        if job.cancelled {
-            self.over.insert(id.clone());
+        let cancelled = job.cancelled;
+        self.jobs.insert(id.clone(), job);
+        if cancelled {
+            self.mark_over(&id);
         }
-        self.jobs.insert(id, job);
+        self.enlist(&id, now);
         self.stirred = true;
     }
 
+    /// Nothing is left of the job but the record of its end.
+    pub(super) fn mark_over(&mut self, id: &Name) {
+        let first = self.is_needed(id) || self.jobs.get(id).is_some_and(|j| j.doomed);
+        self.over.insert((!first, id.clone()));
+    }
+
     pub fn cancel(&mut self, id: &str, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -60,7 +68,9 @@
             let key = (id.clone(), task, attempt);
             self.stop(&machine, &key, 0.0, now);
         }
-        self.over.insert(id.clone());
+        self.leave(&id);
+        self.resolve(&id, JobState::Cancelled, now);
+        self.mark_over(&id);
         self.fleet.left(&spec, now);
         self.effects.push(Effect::Ended {
             id,
@@ -124,7 +134,7 @@
                 .map_or(Vec::new(), |t| t.at.clone()),
         };
         if job.is_over() {
-            self.over.insert(id.clone());
+            self.mark_over(id);
         }
         for t in touched {
             self.touch(id, t, now);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! Everything but [`election`] is clock-free: it takes events with their time, and returns effects
 //! for other actors to carry out. [`core`] owns the state; [`places`] guards the invariants that the
 //! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`],
+//! [`pipelines`],
 //! [`deadlines`], [`backfill`], [`placement`], [`predict`], [`fleet`], [`retiring`] and [`health`]
 //! decide. [`redirects`] is a follower's.
 
@@ -14,6 +15,7 @@
 pub mod health;
 pub mod jobs;
 pub mod orders;
+pub mod pipelines;
 pub mod placement;
 pub mod places;
 pub mod predict;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -301,7 +301,7 @@
                 let quick = matches!(p.stage, Stage::Seen(_)) && p.stop.is_none();
                 quick
                     && p.load.yields
-                    && outranks(job.spec.priority, p.load.priority)
+                    && outranks(job.priority, p.load.priority)
                     && !self.victims.contains(*key)
             })
             .collect();
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -167,7 +167,7 @@
             usage.1 -= job.spec.gpus;
         }
         if job.is_over() {
-            self.over.insert(id.clone());
+            self.mark_over(id);
         }
         self.stirred = true;
         let slab = &mut self.slabs[at.slab];
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -2,7 +2,7 @@
 
 use super::backfill::{reserve, reserve_gang, Frees, Reservation};
 use super::core::Core;
-use super::deadlines::{met, Due};
+use super::deadlines::{met, Remaining};
 use super::placement::Pass;
 use super::state::*;
 use super::Time;
@@ -56,7 +56,7 @@
                 false => queue.push(job),
             }
         }
-        services.sort_by_key(|j| (Reverse(j.spec.priority), j.seq));
+        services.sort_by_key(|j| (Reverse(j.priority), j.seq));
         for job in services {
             for task in job.unplaced() {
                 if pass.place_service(job, task).is_err() {
@@ -111,45 +111,43 @@
     /// yields to what can, in tiers of lateness.
     pub(super) fn turns(&self, queue: &[&Job], cpus: f64, now: Time) -> Turns {
         let mut turns = Turns::new();
-        let mut left: Vec<(&Job, Vec<f64>)> = Vec::new();
+        let mut left: Vec<(&Job, &Due, Vec<f64>)> = Vec::new();
         let mut taken = 0.0;
         for job in queue {
-            match job.spec.deadline_s {
-                Some(_) => left.push((job, self.lateness(&job.spec.class))),
+            match &job.due {
+                Some(due) => left.push((job, due, self.lateness(&due.class))),
                 _ => {
-                    turns.insert(job.id.clone(), (0, job.arrived));
+                    turns.insert(job.id.clone(), (0, job.ready));
                 }
             }
         }
         let mut tier = 0;
         while !left.is_empty() {
-            let at = |job: &Job, times: &[f64]| -> Option<Time> {
-                let due_s = job.spec.deadline_s.unwrap_or(0.0);
-                times.get(tier).map(|t| job.arrived + due_s * t)
+            let at = |due: &Due, times: &[f64]| -> Time {
+                times.get(tier).map_or(f64::INFINITY, |t| due.at(*t))
             };
-            left.sort_by(|(a, x), (b, y)| {
-                let due = |j: &Job, t: &[f64]| at(j, t).unwrap_or(f64::INFINITY);
-                due(a, x).total_cmp(&due(b, y)).then(a.seq.cmp(&b.seq))
+            left.sort_by(|(a, p, x), (b, q, y)| {
+                at(p, x).total_cmp(&at(q, y)).then(a.seq.cmp(&b.seq))
             });
-            let dues: Vec<Due> = left
+            let dues: Vec<Remaining> = left
                 .iter()
-                .map(|(job, times)| Due {
-                    at: at(job, times).unwrap_or(f64::INFINITY),
+                .map(|(job, due, times)| Remaining {
+                    at: at(due, times),
                     work: job.work_left(),
                     least_s: job.predicted_s,
                 })
                 .collect();
             let met = met(&dues, now, cpus, taken);
             let mut rest = Vec::new();
-            for (i, (job, times)) in left.into_iter().enumerate() {
+            for (i, (job, due, times)) in left.into_iter().enumerate() {
                 if !met[i] {
-                    rest.push((job, times));
+                    rest.push((job, due, times));
                     continue;
                 }
                 taken += dues[i].work;
                 let time = match dues[i].at.is_finite() {
                     true => dues[i].at - job.predicted_s,
-                    false => job.arrived,
+                    false => job.ready,
                 };
                 turns.insert(job.id.clone(), (tier, time));
             }
@@ -267,8 +265,8 @@
         if self.settings.cluster.teams.iter().all(|t| t.cpus <= 0.0) {
             return HashMap::new();
         }
-        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        jobs.sort_by_key(|j| j.seq);
+        let mut jobs: Vec<&Job> = self.jobs.values().filter(|j| j.may_begin()).collect();
+        jobs.sort_by(|a, b| a.ready.total_cmp(&b.ready).then(a.seq.cmp(&b.seq)));
         let mut sums: HashMap<&str, (f64, f64)> = HashMap::new();
         let mut within = HashMap::new();
         for job in jobs {
@@ -342,7 +340,7 @@
                  its team uses {cpus} CPUs of at most {most}",
                 self.machines.len(),
                 job.id,
-                now - job.arrived
+                now - job.ready
             );
         }
     }
@@ -353,15 +351,15 @@
 
 /// The order of the queue: by priority, then in turn.
 pub(super) fn in_turn(a: &Job, b: &Job, turns: &Turns) -> Ordering {
-    let turn = |j: &Job| turns.get(&j.id).copied().unwrap_or((0, j.arrived));
+    let turn = |j: &Job| turns.get(&j.id).copied().unwrap_or((0, j.ready));
     let ((a_tier, a_time), (b_tier, b_time)) = (turn(a), turn(b));
     let by_turn = a_tier.cmp(&b_tier).then(a_time.total_cmp(&b_time));
-    let by_priority = b.spec.priority.cmp(&a.spec.priority);
+    let by_priority = b.priority.cmp(&a.priority);
     by_priority.then(by_turn).then(a.seq.cmp(&b.seq))
 }
 
 fn waits(job: &Job, now: Time) -> bool {
-    !job.cancelled && now >= job.retry_at && job.unplaced_count() > 0
+    job.may_begin() && now >= job.retry_at && job.unplaced_count() > 0
 }
 
 /// Whether work may be stopped for other work of a higher priority.
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -20,6 +20,7 @@
     /// Loads what earlier leaders recorded. Once a worker has seen our token, no older command
     /// reaches it, and its report is the truth.
     pub fn recover(&mut self, records: Records, wall_ms: u64, now: Time) {
+        self.day_ms = wall_ms as f64 - 1000.0 * now;
         let mut open: BTreeMap<u64, OpenRecord> = BTreeMap::new();
         for item in records.open {
             if let Some(record) = Self::decode::<OpenRecord>(&item.key, item.value) {
@@ -56,6 +57,7 @@
                 self.recover_slab(slab, record, now);
             }
         }
+        self.waits_no_more();
         for slab in 0..self.slabs.len() {
             self.split_slab(slab, now);
         }
--- a/src/coordination/retiring.rs
+++ b/src/coordination/retiring.rs
@@ -53,7 +53,7 @@
         }
         // Jobs that may only use some machines keep all of those.
         let mut choosy: Vec<&Job> = Vec::new();
-        for job in self.jobs.values().filter(|j| !j.cancelled) {
+        for job in self.jobs.values().filter(|j| j.may_begin()) {
             // One that waits for its team's limit needs no machine.
             let wanted = f64::from(self.wanted(job, job.unplaced_count()));
             if wanted <= 0.0 {
@@ -99,7 +99,7 @@
         let waiting = || {
             self.jobs
                 .values()
-                .any(|j| !j.cancelled && j.unplaced_count() > 0)
+                .any(|j| j.may_begin() && j.unplaced_count() > 0)
         };
         if moving >= most || waiting() {
             return;
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -159,12 +159,43 @@
 const BEGINS_WITHIN_S: f64 = 240.0;
 const OVERDUE_SHARE: f64 = 0.5;
 
+/// The deadline that a job works towards: its own, or that of a job that needs it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// When the job with that deadline was submitted, its time, and its class.
+    pub arrived: Time,
+    pub due_s: f64,
+    pub class: Name,
+    /// What follows on the longest way to that job's end.
+    pub after_s: f64,
+}
+
+impl Due {
+    /// When this job must be done, if the deadline may be missed so many times over.
+    pub fn at(&self, times: f64) -> Time {
+        self.arrived + self.due_s * times - self.after_s
+    }
+
+    pub fn latest(&self) -> Time {
+        self.at(1.0)
+    }
+}
+
 pub struct Job {
     pub spec: Arc<JobSpec>,
     pub id: Name,
     /// Version of the description's record: the order of arrival, the same for every leader.
     pub seq: u64,
     pub arrived: Time,
+    /// Jobs whose end is not known yet and that must be done before it begins, and since when there
+    /// are none.
+    pub needs: BTreeSet<Name>,
+    pub ready: Time,
+    /// A job that it needs is cancelled: so is it, once that is on record.
+    pub doomed: bool,
+    /// The highest priority and the most urgent deadline of it and of those that need it.
+    pub priority: Priority,
+    pub due: Option<Due>,
     pub tasks: Vec<Task>,
     pub done: u32,
     /// Places that are or may be live, and those that are known to run.
@@ -202,6 +233,11 @@
             id: spec.id.as_str().into(),
             seq,
             arrived,
+            needs: BTreeSet::new(),
+            ready: arrived,
+            doomed: false,
+            priority: spec.priority,
+            due: None,
             tasks: vec![Task::default(); spec.tasks as usize],
             done: 0,
             live: 0,
@@ -229,7 +265,7 @@
     pub fn load(&self) -> Load {
         Load {
             need: self.need(),
-            priority: self.spec.priority,
+            priority: self.priority,
             run_s: (!self.is_service()).then_some((self.predicted_s, self.spec.estimate_s)),
             yields: self.spec.kind == Kind::Array && self.spec.checkpoint_s <= 0.0,
         }
@@ -238,7 +274,7 @@
     /// Whether nothing of it has begun for so long that it goes before others, whatever it yields to.
     pub fn is_overdue(&self, now: Time) -> bool {
         let waits = self.first_run.is_none() && self.live == 0 && self.done == 0;
-        waits && now - self.arrived > BEGINS_WITHIN_S * OVERDUE_SHARE
+        waits && now - self.ready > BEGINS_WITHIN_S * OVERDUE_SHARE
     }
 
     /// The processor seconds that are left, by its prediction; what runs is half done on average.
@@ -250,12 +286,17 @@
     /// Whether nothing is left of it but the record of its end.
     pub fn is_over(&self) -> bool {
         let done = !self.is_service() && self.done as usize == self.tasks.len();
-        match self.cancelled {
+        match self.cancelled || self.doomed {
             true => self.live == 0 && !self.ended,
             false => done && !self.ended,
         }
     }
 
+    /// Whether its tasks may be placed, as far as other jobs are concerned.
+    pub fn may_begin(&self) -> bool {
+        !self.cancelled && !self.doomed && self.needs.is_empty()
+    }
+
     pub fn is_service(&self) -> bool {
         self.spec.kind == Kind::Service
     }
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -55,15 +55,17 @@
     /// Ends a job: a write-once key, and its description closes. Its other records are of no use
     /// from then on; they are removed when there is time.
     pub(super) fn write_end(&mut self, now: Time) -> bool {
-        let idle = |id: &&Name| {
-            let job = self.jobs.get(*id);
+        let idle = |(_, id): &&(bool, Name)| {
+            let job = self.jobs.get(id);
             job.is_none_or(|j| !j.end_in_flight && !j.chunks.iter().any(|c| c.in_flight))
         };
-        let Some(id) = self.over.iter().find(idle).cloned() else {
+        let Some(entry) = self.over.iter().find(idle).cloned() else {
             return false;
         };
+        let id = entry.1.clone();
+        let at_ms = Some(self.wall_ms(now));
         let Some(job) = self.jobs.get_mut(&id).filter(|j| j.is_over()) else {
-            self.over.remove(&id);
+            self.over.remove(&entry);
             return true;
         };
         let changes = if job.cancelled { 1.0 } else { 2.0 };
@@ -71,13 +73,15 @@
             return false;
         }
         job.end_in_flight = true;
-        let cancelled = job.cancelled;
-        self.over.remove(&id);
+        let (cancelled, doomed) = (job.cancelled, job.doomed);
+        self.over.remove(&entry);
         let mut txn = self.begin().delete(open_key(&id));
         if !cancelled {
-            let end = EndRecord {
-                state: JobState::Done,
+            let state = match doomed {
+                true => JobState::Cancelled,
+                false => JobState::Done,
             };
+            let end = EndRecord { state, at_ms };
             txn = txn
                 .absent(end_key(&id))
                 .put(end_key(&id), serde_json::to_value(end).expect("plain data"));
@@ -302,7 +306,7 @@
         if let Some(id) = what.ends {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.end_in_flight = false;
-                self.over.insert(id.clone());
+                self.mark_over(&id);
             }
             if applied.is_some() {
                 self.job_ended(&id, now);
@@ -375,20 +379,33 @@
             return;
         };
         job.ended = true;
-        if !job.cancelled {
+        if job.doomed && !job.cancelled {
+            job.cancelled = true;
+            self.fleet.left(&job.spec, now);
+            self.effects.push(Effect::Ended {
+                id: id.clone(),
+                state: JobState::Cancelled,
+            });
+        } else if !job.cancelled {
             let due = job
                 .spec
                 .deadline_s
                 .map_or(String::new(), |s| format!(", due after {s:.0}"));
-            let started = job.first_run.map_or(0.0, |t| t - job.arrived);
-            let took = now - job.arrived;
+            let started = job.first_run.map_or(0.0, |t| t - job.ready);
+            let took = now - job.ready;
             info!("{id}: done, started after {started:.0} s, took {took:.0}{due}");
             self.effects.push(Effect::Ended {
                 id: id.clone(),
                 state: JobState::Done,
             });
         }
-        self.over.remove(id);
+        let state = match job.cancelled {
+            true => JobState::Cancelled,
+            false => JobState::Done,
+        };
+        for first in [false, true] {
+            self.over.remove(&(first, id.clone()));
+        }
         let stored = job.chunks.iter().enumerate().filter(|(_, c)| c.version > 0);
         for (i, _) in stored {
             self.stale_keys.insert(run_key(id, self.cut.number(i)));
@@ -400,6 +417,7 @@
         for (task, machine, attempt) in left {
             self.stop(&machine, &(id.clone(), task, attempt), 0.0, now);
         }
+        self.resolve(id, state, now);
         self.drop_ended(id);
     }
 
@@ -433,6 +451,7 @@
                 match serde_json::from_value::<EndRecord>(item.value) {
                     Ok(EndRecord {
                         state: JobState::Cancelled,
+                        ..
                     }) => self.cancel(id, now),
                     // Our own end, whose answer was lost.
                     Ok(_) => self.job_ended(&id.into(), now),
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
+use std::collections::BTreeSet;
 
 /// How the tasks of a job belong together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,7 +31,7 @@
     Critical,
 }
 
-/// A job's description; write-once under `job/ID` of the state service.
+/// A job's description.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
     #[serde(rename = "name_id")]
@@ -70,6 +71,9 @@
     pub save_s: f64,
     #[serde(rename = "due_s")]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any of its tasks starts. Records tell it in their own way.
+    #[serde(skip)]
+    pub waits_on: Vec<String>,
 }
 
 /// Why a description cannot be taken.
@@ -145,6 +149,20 @@
         }
     }
 
+    /// A list of jobs, each once; none where it is missing.
+    fn jobs(&self, name: &'static str) -> Result<Vec<String>, Malformed> {
+        let list = match self.get(name) {
+            None => return Ok(Vec::new()),
+            Some(Value::Array(list)) => list,
+            Some(_) => return bad(name, "must be a list of job ids"),
+        };
+        let ids = list.iter().map(|v| v.as_str().filter(|id| is_job_id(id)));
+        match ids.collect::<Option<BTreeSet<&str>>>() {
+            Some(ids) => Ok(ids.into_iter().map(str::to_string).collect()),
+            None => bad(name, "must be a list of job ids"),
+        }
+    }
+
     fn choice<T: serde::de::DeserializeOwned>(&self, name: &'static str) -> Result<T, Malformed> {
         match self.get(name) {
             None => bad(name, "is missing"),
@@ -212,6 +230,7 @@
             checkpoint_s: f.amount("fix_interval_s")?,
             save_s: f.amount("fix_s")?,
             deadline_s,
+            waits_on: f.jobs("waits_on")?,
         })
     }
 }
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -4,7 +4,7 @@
 use super::gateway::Task;
 use super::workers::{CloudCall, Pool};
 use crate::bookkeeping::index::EndIndex;
-use crate::bookkeeping::records::{OpenRecord, OPEN, PLACE, RUN};
+use crate::bookkeeping::records::{EndRecord, OpenRecord, OPEN, PLACE, RUN};
 use crate::bookkeeping::store::{Store, Unavailable};
 use crate::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use crate::coordination::election::{News, Wish};
@@ -37,6 +37,8 @@
     /// A job was accepted or cancelled, as its record says.
     Opened(Box<OpenRecord>, u64),
     Ended(String, JobState),
+    /// How jobs ended that were looked up, if they did.
+    Found(Vec<(Name, Option<EndRecord>)>),
     Loaded(u64, Records),
     Written(u64, Written),
     Ordered(Name, Ordered),
@@ -327,9 +329,29 @@
                 let _ = self.links.wishes.try_send(Wish::RaiseToken);
             }
             Effect::Ended { id, state } => self.ends.insert(&id, state),
+            Effect::FindEnds(ids) => self.find_ends(ids),
         }
     }
 
+    /// Ends that this node knows are answered at once; the others are read.
+    fn find_ends(&mut self, ids: Vec<Name>) {
+        let (mut known, mut unknown) = (Vec::new(), Vec::new());
+        for id in ids {
+            match self.ends.get(&id) {
+                Some(state) => known.push((id, Some(EndRecord { state, at_ms: None }))),
+                None => unknown.push(id),
+            }
+        }
+        if unknown.is_empty() {
+            let now = self.now();
+            if let Some(core) = self.core() {
+                core.found(known, now);
+            }
+            return;
+        }
+        self.links.pool.find(known, unknown);
+    }
+
     fn core(&mut self) -> Option<&mut Core> {
         match &mut self.role {
             Role::Leading(core) => Some(core),
@@ -361,8 +383,13 @@
             }
             Message::Ended(id, state) => {
                 self.ends.insert(&id, state);
-                if let (JobState::Cancelled, Some(core)) = (state, self.core()) {
-                    core.cancel(&id, now);
+                if let Some(core) = self.core() {
+                    core.ended(&id, state, now);
+                }
+            }
+            Message::Found(ends) => {
+                if let Some(core) = self.core() {
+                    core.found(ends, now);
                 }
             }
             Message::Loaded(token, records) => self.loaded(token, records),
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -10,7 +10,7 @@
 use crate::protocol::store::Transaction;
 use crate::settings::Settings;
 use crate::transport::front::Call;
-use crate::transport::peers::{Kind as AskKind, Peers};
+use crate::transport::peers::{Asked, Kind as AskKind, Peers};
 use crate::transport::{Reply, Respond};
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 use std::cell::RefCell;
@@ -153,12 +153,17 @@
             Ok(spec) => spec,
             Err(error) => return Reply::error(400, error),
         };
-        let result = self.submit(&spec);
-        self.or_others(result, AskKind::Submit, &spec.id, body, from_peer)
+        let asked = Asked {
+            kind: AskKind::Submit,
+            job: &spec.id,
+            body,
+            waits: !spec.waits_on.is_empty(),
+        };
+        self.or_others(self.submit(&spec), &asked, from_peer)
     }
 
     fn answer_cancellation(&self, id: &str, from_peer: bool) -> Reply {
-        self.or_others(self.cancel(id), AskKind::Cancel, id, &[], from_peer)
+        self.or_others(self.cancel(id), &about(AskKind::Cancel, id), from_peer)
     }
 
     fn answer_query(&self, id: &str, from_peer: bool) -> Answered {
@@ -172,7 +177,7 @@
             };
         }
         if let (false, false, Some(leader)) = (from_peer, located.leads, &located.leader) {
-            if let Some(reply) = self.ask(leader, AskKind::Query, id, &[]) {
+            if let Some(reply) = self.ask(leader, &about(AskKind::Query, id)) {
                 // A leader that cannot take it now may be cut off where this node is not.
                 if reply.status < 500 && reply.status != 429 {
                     self.note_end(id, &reply);
@@ -181,7 +186,7 @@
             }
         }
         let result = self.query(id);
-        Answered::Now(self.or_others(result, AskKind::Query, id, &[], from_peer))
+        Answered::Now(self.or_others(result, &about(AskKind::Query, id), from_peer))
     }
 
     /// An end that the leader tells of never changes: it is answered from here the next time.
@@ -198,9 +203,7 @@
     fn or_others(
         &self,
         result: Result<Reply, Unavailable>,
-        kind: AskKind,
-        id: &str,
-        body: &[u8],
+        asked: &Asked,
         from_peer: bool,
     ) -> Reply {
         match result {
@@ -209,12 +212,12 @@
             Err(Unavailable) => self
                 .peers
                 .names()
-                .find_map(|name| self.ask(name, kind, id, body).filter(|r| r.status < 500))
+                .find_map(|name| self.ask(name, asked).filter(|r| r.status < 500))
                 .unwrap_or_else(later),
         }
     }
 
-    fn ask(&self, peer: &str, kind: AskKind, id: &str, body: &[u8]) -> Option<Reply> {
+    fn ask(&self, peer: &str, asked: &Asked) -> Option<Reply> {
         let now = Instant::now();
         if self
             .unreachable
@@ -224,9 +227,9 @@
         {
             return None;
         }
-        let reply = self.peers.ask(peer, kind, id, body, LEADER_PATIENCE);
+        let reply = self.peers.ask(peer, asked, LEADER_PATIENCE);
         if reply.is_none() {
-            debug!("{peer}: no answer to a request about {id}");
+            debug!("{peer}: no answer to a request about {}", asked.job);
             let until = Instant::now() + AVOID;
             self.unreachable
                 .borrow_mut()
@@ -273,6 +276,16 @@
                 None => refusal,
             });
         }
+        match self.needed(spec)? {
+            Needed::Accepted => {}
+            Needed::Never(why) => {
+                return Ok(match self.recorded(&spec.id)? {
+                    Some(status) => Reply::json(200, &status),
+                    None => Reply::error(422, why),
+                });
+            }
+            Needed::Cancelled => return self.accept_cancelled(&spec.id),
+        }
         let record = OpenRecord {
             spec: spec.clone(),
             at_ms: wall_ms(),
@@ -320,11 +333,60 @@
         Err(Unavailable)
     }
 
+    /// What has become of the jobs that a submission names: one request tells for several, since a
+    /// description goes in the same transaction as the end comes.
+    fn needed(&self, spec: &JobSpec) -> Result<Needed, Unavailable> {
+        if spec.waits_on.contains(&spec.id) {
+            return Ok(Needed::Never("waits_on: names the job itself".into()));
+        }
+        let at_once = (self.settings.cluster.state.conditions() / 2).max(1);
+        for ids in spec.waits_on.chunks(at_once) {
+            let mut txn = Transaction::default();
+            for id in ids {
+                txn = txn.absent(open_key(id)).absent(end_key(id));
+            }
+            let there = match self.store.commit(&txn) {
+                Outcome::Conflict(failed) => failed,
+                Outcome::Applied(_) => Vec::new(),
+                _ => return Err(Unavailable),
+            };
+            for id in ids {
+                if there.contains(&end_key(id)) {
+                    let end = self.store.read::<EndRecord>(&end_key(id))?;
+                    if end.is_some_and(|(end, _)| end.state == JobState::Cancelled) {
+                        return Ok(Needed::Cancelled);
+                    }
+                } else if !there.contains(&open_key(id)) && self.recorded(id)?.is_none() {
+                    return Ok(Needed::Never(format!("waits_on: {id} was never accepted")));
+                }
+            }
+        }
+        Ok(Needed::Accepted)
+    }
+
+    /// Accepts a job that needs a cancelled one: its end is all that there is to record of it.
+    fn accept_cancelled(&self, id: &str) -> Result<Reply, Unavailable> {
+        let txn = Transaction::default()
+            .absent(open_key(id))
+            .absent(end_key(id))
+            .put(end_key(id), cancelled_end());
+        for _ in 0..TRIES {
+            match self.store.commit(&txn) {
+                Outcome::Applied(_) => return Ok(self.cancelled(id, 201)),
+                Outcome::Conflict(_) => {
+                    return Ok(match self.recorded(id)? {
+                        Some(status) => Reply::json(200, &status),
+                        None => Reply::later("the job is just being accepted"),
+                    });
+                }
+                Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
+                Outcome::Unknown => {}
+            }
+        }
+        Err(Unavailable)
+    }
+
     fn cancel(&self, id: &str) -> Result<Reply, Unavailable> {
-        let end = serde_json::to_value(EndRecord {
-            state: JobState::Cancelled,
-        })
-        .expect("plain data");
         for _ in 0..TRIES {
             let Some((record, version)) = self.store.read::<OpenRecord>(&open_key(id))? else {
                 match self.recorded(id)? {
@@ -334,19 +396,19 @@
                 }
             };
             if record.cancelled {
-                return Ok(self.cancelled(id));
+                return Ok(self.cancelled(id, 200));
             }
             let record = record.taken_back(self.settings.cluster.state.record_bytes());
             let txn = Transaction::default()
                 .absent(end_key(id))
                 .version(open_key(id), version)
-                .put(end_key(id), end.clone())
+                .put(end_key(id), cancelled_end())
                 .put(
                     open_key(id),
                     serde_json::to_value(&record).expect("plain data"),
                 );
             match self.store.commit(&txn) {
-                Outcome::Applied(_) => return Ok(self.cancelled(id)),
+                Outcome::Applied(_) => return Ok(self.cancelled(id, 200)),
                 // Ended meanwhile, or cancelled by a try whose answer was lost.
                 Outcome::Conflict(_) | Outcome::Unknown => {}
                 Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
@@ -355,15 +417,42 @@
         Err(Unavailable)
     }
 
-    fn cancelled(&self, id: &str) -> Reply {
+    fn cancelled(&self, id: &str, status: u16) -> Reply {
         ended_status(&self.controller, id, JobState::Cancelled);
         Reply::json(
-            200,
+            status,
             &serde_json::json!({"name_id": id, "status": "cancelled"}),
         )
     }
 }
 
+/// What a submission names to wait for.
+enum Needed {
+    /// All of it was accepted, and none cancelled as far as is on record.
+    Accepted,
+    /// Some of it never was, or can't be waited for: why.
+    Never(String),
+    Cancelled,
+}
+
+/// A request that says no more than which job it is about.
+fn about(kind: AskKind, job: &str) -> Asked<'_> {
+    Asked {
+        kind,
+        job,
+        body: &[],
+        waits: false,
+    }
+}
+
+fn cancelled_end() -> serde_json::Value {
+    let end = EndRecord {
+        state: JobState::Cancelled,
+        at_ms: Some(wall_ms()),
+    };
+    serde_json::to_value(end).expect("plain data")
+}
+
 enum Answered {
     Now(Reply),
     /// What the leader's picture says, unless the job's end is on record.
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -3,7 +3,7 @@
 use super::controller::Message;
 use super::gateway::SharedTypes;
 use super::spawn;
-use crate::bookkeeping::records::{LEADER, TYPES};
+use crate::bookkeeping::records::{end_key, EndRecord, LEADER, TYPES};
 use crate::bookkeeping::store::{Outcome, Store};
 use crate::coordination::core::{Ordered, Written};
 use crate::coordination::state::Name;
@@ -32,11 +32,17 @@
     writes: Sender<(u64, Transaction)>,
     orders: Courier,
     cloud: Sender<CloudCall>,
+    finds: Sender<Find>,
 }
 
+/// Ends of jobs that are known, and jobs of which the end is to be read.
+type Find = (Vec<(Name, Option<EndRecord>)>, Vec<Name>);
+
 const WRITERS: usize = 3;
 const CLOUD_CALLERS: usize = 3;
 const QUEUE: usize = 256;
+/// The share of the state service's requests that ends may take which are looked up.
+const FINDS_SHARE: f64 = 0.25;
 /// A worker answers at once or hangs; its own reports bring what direct commands could not.
 const ORDER_PATIENCE: Duration = Duration::from_millis(1500);
 const CLOUD_PATIENCE: Duration = Duration::from_secs(4);
@@ -63,6 +69,12 @@
         let (client, jobs, inbox) = (client.clone(), to_cloud.clone(), inbox.clone());
         spawn("cloud", move || call_cloud(&client, &jobs, &inbox))?;
     }
+    let (finds, to_find) = bounded(1);
+    let find_pause = Duration::from_secs_f64(1.0 / (FINDS_SHARE * settings.cluster.state.rps));
+    let (find_store, find_inbox) = (store.clone(), inbox.clone());
+    spawn("finder", move || {
+        find_all(&find_store, &to_find, &find_inbox, find_pause)
+    })?;
     let pause = Duration::from_secs_f64(settings.cluster.cloud.list_lag_s.max(1.0) * 4.0);
     let (store, types, types_inbox) = (store.clone(), types.clone(), inbox.clone());
     let most_bytes = settings.cluster.state.record_bytes();
@@ -74,6 +86,7 @@
         writes,
         orders: Courier::new(runtime, order_sockets, ORDER_PATIENCE, MOST_REPORT),
         cloud,
+        finds,
     })
 }
 
@@ -94,6 +107,15 @@
         self.orders.post(endpoint, "/orders", body, Box::new(taker));
     }
 
+    /// Looks up how jobs ended; `known` comes with the answer.
+    pub fn find(&self, known: Vec<(Name, Option<EndRecord>)>, unknown: Vec<Name>) {
+        if let Err(TrySendError::Full((mut found, unknown))) = self.finds.try_send((known, unknown))
+        {
+            found.extend(unknown.into_iter().map(|id| (id, None)));
+            let _ = self.inbox.try_send(Message::Found(found));
+        }
+    }
+
     pub fn cloud(&self, call: CloudCall) {
         if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) =
             self.cloud.try_send(call)
@@ -108,6 +130,17 @@
     }
 }
 
+fn find_all(store: &Store, jobs: &Receiver<Find>, inbox: &Sender<Message>, pause: Duration) {
+    for (mut found, unknown) in jobs {
+        for id in unknown {
+            let end = store.read::<EndRecord>(&end_key(&id));
+            found.push((id, end.ok().flatten().map(|(end, _)| end)));
+            std::thread::sleep(pause);
+        }
+        let _ = inbox.send(Message::Found(found));
+    }
+}
+
 fn write_all(store: &Store, jobs: &Receiver<(u64, Transaction)>, inbox: &Sender<Message>) {
     for (id, transaction) in jobs {
         let result = match store.commit(&transaction) {
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -32,6 +32,16 @@
     Promise(u64),
 }
 
+/// A user's request that is handed to another controller.
+pub struct Asked<'a> {
+    pub kind: Kind,
+    pub job: &'a str,
+    /// The description as its user sent it, for a submission.
+    pub body: &'a [u8],
+    /// Whether it is the submission of a job that waits for others.
+    pub waits: bool,
+}
+
 pub type PeerHandler = dyn Fn(PeerCall, Respond) + Send + Sync;
 
 struct Service {
@@ -72,6 +82,13 @@
         }))
     }
 
+    async fn ask_waiting(
+        &self,
+        request: Request<AskRequest>,
+    ) -> Result<Response<AskReply>, Status> {
+        self.ask(request).await
+    }
+
     async fn report(
         &self,
         request: Request<ReportRequest>,
@@ -172,21 +189,20 @@
     }
 
     /// Hands a user's request to another controller.
-    pub fn ask(
-        &self,
-        name: &str,
-        kind: Kind,
-        job: &str,
-        body: &[u8],
-        within: Duration,
-    ) -> Option<Reply> {
+    pub fn ask(&self, name: &str, asked: &Asked, within: Duration) -> Option<Reply> {
         let mut client = self.client(name)?;
         let request = AskRequest {
-            kind: kind.into(),
-            job: job.to_string(),
-            body: body.to_vec(),
+            kind: asked.kind.into(),
+            job: asked.job.to_string(),
+            body: asked.body.to_vec(),
         };
-        let reply = self.call(within, async move { client.ask(request).await })?;
+        let waits = asked.waits;
+        let reply = self.call(within, async move {
+            match waits {
+                true => client.ask_waiting(request).await,
+                false => client.ask(request).await,
+            }
+        })?;
         Some(Reply {
             status: reply.status as u16,
             body: reply.body.into(),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -150,3 +150,78 @@
     grid.state_down.store(false, Ordering::Relaxed);
     assert_eq!(accepted(&grid.front(0), &small_job("req-1")) / 100, 2);
 }
+
+/// A job of two small tasks that waits for others.
+fn waiting(id: &str, waits_on: &[&str]) -> Value {
+    let mut job = small_job(id);
+    job["waits_on"] = json!(waits_on);
+    job
+}
+
+#[test]
+fn pipelines_go_through_any_node_and_outlive_the_leader() {
+    let grid = Grid::new("pipelines");
+    let mut nodes: Vec<Option<Killed>> = (0..3).map(|i| grid.start(i)).collect();
+    let worker = &grid.worker;
+    let report = |nodes: &[usize]| grid.report_to(nodes);
+    let state = |i: usize, id: &str| {
+        let (status, answer) = call(
+            "GET",
+            &grid.front(i),
+            &format!("/v2/runs/{id}"),
+            &Value::Null,
+        )?;
+        (status == 200).then(|| answer["status"].as_str().unwrap().to_string())
+    };
+    let submit = |i: usize, job: &Value| accepted(&grid.front(i), job);
+    // What was never accepted cannot be waited for, nor can the job itself.
+    assert_eq!(submit(1, &waiting("req-2", &["req-1"])), 422);
+    assert_eq!(submit(1, &waiting("req-2", &["req-2"])), 422);
+    assert_eq!(submit(1, &waiting("req-2", &["nothing"])), 400);
+    assert_eq!(submit(0, &small_job("req-1")), 201);
+    assert_eq!(submit(1, &waiting("req-2", &["req-1"])), 201);
+    assert_eq!(submit(2, &waiting("req-3", &["req-2", "req-1"])), 201);
+    assert_eq!(submit(0, &waiting("req-3", &["req-9"])), 200, "is known");
+    let started = |id: &str| {
+        let starts = worker.lock().unwrap().starts.clone();
+        starts.iter().any(|s| s.starts_with(&format!("{id}/")))
+    };
+    until("the first runs", || {
+        report(&[0, 1, 2]);
+        started("req-1").then_some(())
+    });
+    let leader = until("there is a leader", || grid.leader());
+    nodes[leader] = None;
+    let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+    assert!(!started("req-2") && !started("req-3"));
+    worker.lock().unwrap().finish = true;
+    until("the last is done", || {
+        report(&others);
+        (state(others[0], "req-3")? == "done").then_some(())
+    });
+    let order: Vec<String> = worker.lock().unwrap().starts.clone();
+    let first = |id: &str| order.iter().position(|s| s.starts_with(id)).unwrap();
+    let last = |id: &str| order.iter().rposition(|s| s.starts_with(id)).unwrap();
+    assert!(last("req-1/") < first("req-2/") && last("req-2/") < first("req-3/"));
+
+    worker.lock().unwrap().finish = false;
+    let (a, b) = (others[0], others[1]);
+    assert_eq!(submit(a, &small_job("req-4")), 201);
+    assert_eq!(submit(b, &waiting("req-5", &["req-4"])), 201);
+    assert_eq!(submit(a, &waiting("req-6", &["req-5", "req-3"])), 201);
+    until("the cancellation is taken", || {
+        call("POST", &grid.front(b), "/v2/runs/req-4/abort", &json!({})).filter(|a| a.0 == 200)
+    });
+    for (i, id) in [(a, "req-5"), (b, "req-5"), (a, "req-6"), (b, "req-6")] {
+        until("what needs it is cancelled", || {
+            report(&others);
+            (state(i, id)? == "cancelled").then_some(())
+        });
+    }
+    // One that comes later is accepted, and cancelled at once.
+    assert_eq!(submit(a, &waiting("req-7", &["req-6"])), 201);
+    let told = until("a node tells", || state(b, "req-7"));
+    assert_eq!(told, "cancelled");
+    assert_eq!(submit(b, &waiting("req-7", &["req-6"])), 200);
+    assert!(!started("req-5") && !started("req-6"));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,12 +2,16 @@
 #![allow(dead_code)] // no test uses all of it
 
 use serde_json::{json, Value};
-use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::bookkeeping::records::*;
 use stairstage::coordination::core::{Core, Effect, Heard, Written};
+use stairstage::coordination::recovery::Records;
+use stairstage::coordination::state::Name;
 use stairstage::protocol::cloud::MachineType;
 use stairstage::protocol::job::JobSpec;
+use stairstage::protocol::store::{Change, Item, Transaction};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// The only type of machine: room for four tasks of a job as described below.
@@ -182,3 +186,145 @@
     };
     tasks.iter().map(show).collect()
 }
+
+/// A state service that keeps values, versions and conditions, and refuses what is too large.
+pub struct Store {
+    pub values: BTreeMap<String, (Value, u64)>,
+    pub revision: u64,
+    /// Bytes of a value, and changes of a transaction, that it takes.
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+/// Why a transaction was not carried out.
+#[derive(Debug, PartialEq)]
+pub enum Refusal {
+    Conflict,
+    TooLarge,
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        Store {
+            values: BTreeMap::new(),
+            revision: 0,
+            value_bytes: 16 * 1024,
+            txn_ops: 16,
+        }
+    }
+}
+
+impl Store {
+    fn takes(&self, txn: &Transaction) -> bool {
+        let fits = |change: &Change| match change {
+            Change::Put { value, .. } => value.to_string().len() <= self.value_bytes,
+            Change::Delete { .. } => true,
+        };
+        let conditions = txn.conditions.len() <= 4 * self.txn_ops;
+        conditions && txn.changes.len() <= self.txn_ops && txn.changes.iter().all(fits)
+    }
+
+    pub fn commit(&mut self, txn: &Transaction) -> Result<u64, Refusal> {
+        if !self.takes(txn) {
+            return Err(Refusal::TooLarge);
+        }
+        for c in &txn.conditions {
+            if self.values.get(&c.key).map_or(0, |v| v.1) != c.version {
+                return Err(Refusal::Conflict);
+            }
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    self.values
+                        .insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => {
+                    self.values.remove(key);
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+
+    pub fn item(&self, key: &str) -> Option<Item> {
+        let (value, version) = self.values.get(key)?.clone();
+        Some(Item {
+            key: key.to_string(),
+            value,
+            version,
+        })
+    }
+
+    pub fn under(&self, prefix: &str) -> Vec<Item> {
+        let keys = self.values.keys().filter(|k| k.starts_with(prefix));
+        keys.filter_map(|k| self.item(k)).collect()
+    }
+
+    pub fn records(&self) -> Records {
+        Records {
+            open: self.under(OPEN),
+            run: self.under(RUN),
+            places: self.under(PLACE),
+        }
+    }
+
+    /// What keys hold, as it is read when a write went unanswered.
+    pub fn reread(&self, txn: &Transaction) -> Written {
+        let keys = txn.conditions.iter().map(|c| c.key.clone());
+        Written::Reread(keys.map(|k| (k.clone(), self.item(&k))).collect())
+    }
+
+    /// The recorded ends of jobs.
+    pub fn ends(&self, ids: &[Name]) -> Vec<(Name, Option<EndRecord>)> {
+        let end = |id: &Name| {
+            let (value, _) = self.values.get(&end_key(id))?;
+            Some(serde_json::from_value(value.clone()).unwrap())
+        };
+        ids.iter().map(|id| (id.clone(), end(id))).collect()
+    }
+
+    /// What an earlier leader finds and leaves that knows one cut of records only: completed tasks
+    /// counted from 0, and all places in one record.
+    pub fn led_by_production(&mut self, tasks_a_chunk: u32) {
+        self.revision += 1;
+        let mut done: BTreeMap<String, std::collections::BTreeSet<u32>> = BTreeMap::new();
+        for item in self.under(RUN) {
+            let (id, _) = parse_run_key(&item.key).unwrap();
+            let record: RunRecord = serde_json::from_value(item.value).unwrap();
+            let tasks = record.done.iter().flat_map(|(first, last)| *first..=*last);
+            done.entry(id.to_string()).or_default().extend(tasks);
+        }
+        for (id, tasks) in done {
+            for chunk in 0..=tasks.last().unwrap_or(&0) / tasks_a_chunk {
+                let mut record = RunRecord::default();
+                let of_chunk = |t: &&u32| **t / tasks_a_chunk == chunk;
+                tasks
+                    .iter()
+                    .filter(of_chunk)
+                    .for_each(|t| record.push_done(*t));
+                let value = serde_json::to_value(&record).unwrap();
+                self.values
+                    .insert(run_key(&id, chunk as usize), (value, self.revision));
+            }
+        }
+        let mut all = PlaceRecord::default();
+        for item in self.under(PLACE) {
+            let record: PlaceRecord = serde_json::from_value(item.value).unwrap();
+            for (id, machines) in record.places {
+                for (machine, places) in machines {
+                    let there = all.places.entry(id.clone()).or_default();
+                    let there = there.entry(machine).or_default();
+                    there.extend(places);
+                    there.sort_unstable();
+                    there.dedup();
+                }
+            }
+            let empty = json!({});
+            self.values.insert(item.key, (empty, self.revision));
+        }
+        let value = serde_json::to_value(&all).unwrap();
+        self.values.insert(place_key(0), (value, self.revision));
+    }
+}
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -5,14 +5,15 @@
 
 mod common;
 
+use common::{Refusal, Store};
+
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use serde_json::{json, Value};
+use serde_json::json;
 use stairstage::bookkeeping::records::*;
 use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
-use stairstage::coordination::recovery::Records;
 use stairstage::protocol::job::JobState;
-use stairstage::protocol::store::{Change, Item, Transaction};
+use stairstage::protocol::store::Transaction;
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,6 +43,7 @@
 write_rps = 100.0
 value_kb = 16.0
 txn_ops = 8
+next = { write_rps = 60.0, value_kb = 0.2, txn_ops = 4 }
 [settings.cloud]
 rps = 10.0
 list_lag_s = 4.0
@@ -50,50 +52,6 @@
 max_sockets = 500
 "#;
 
-/// A state service that keeps values, versions and conditions.
-#[derive(Default)]
-struct Store {
-    values: BTreeMap<String, (Value, u64)>,
-    revision: u64,
-}
-
-impl Store {
-    fn commit(&mut self, txn: &Transaction) -> Result<u64, ()> {
-        for c in &txn.conditions {
-            if self.values.get(&c.key).map_or(0, |v| v.1) != c.version {
-                return Err(());
-            }
-        }
-        self.revision += 1;
-        for change in &txn.changes {
-            match change {
-                Change::Put { key, value, .. } => {
-                    self.values
-                        .insert(key.clone(), (value.clone(), self.revision));
-                }
-                Change::Delete { key } => {
-                    self.values.remove(key);
-                }
-            }
-        }
-        Ok(self.revision)
-    }
-
-    fn item(&self, key: &str) -> Option<Item> {
-        let (value, version) = self.values.get(key)?.clone();
-        Some(Item {
-            key: key.to_string(),
-            value,
-            version,
-        })
-    }
-
-    fn under(&self, prefix: &str) -> Vec<Item> {
-        let keys = self.values.keys().filter(|k| k.starts_with(prefix));
-        keys.filter_map(|k| self.item(k)).collect()
-    }
-}
-
 #[derive(Clone)]
 struct OnWorker {
     state: TaskState,
@@ -118,6 +76,8 @@
 }
 
 const CPUS: f64 = 4.0;
+/// Jobs that a history may submit.
+const JOBS: u8 = 9;
 
 impl Worker {
     fn new(number: usize, now: f64) -> Worker {
@@ -271,8 +231,18 @@
     /// The next write is applied but unanswered, or lost, or held back.
     Writes(u8),
     Cancel(u8),
-    Submit(u8),
+    /// A job is submitted that waits for those whose bits are set; the node that takes it may look
+    /// whether one of them is cancelled.
+    Submit {
+        number: u8,
+        waits_on: u16,
+        looks: bool,
+    },
     NewLeader,
+    /// The version in production leads for a moment, as long as the limits are the old ones.
+    Production,
+    /// The state service has its new limits.
+    Limits,
     /// Machines stop with all that is on them: those whose bits are set.
     Fall(u8),
     /// The zone of the machines whose bits are set is cut off, or is back; the leader may be in it,
@@ -307,8 +277,10 @@
         2 => any::<bool>().prop_map(Step::Hold),
         2 => any::<u8>().prop_map(Step::Replay),
         2 => (0u8..4).prop_map(Step::Writes),
-        2 => (0u8..6).prop_map(Step::Cancel),
-        3 => (0u8..6).prop_map(Step::Submit),
+        2 => (0u8..JOBS).prop_map(Step::Cancel),
+        4 => (0u8..JOBS, any::<u16>(), any::<bool>()).prop_map(|(number, waits_on, looks)| Step::Submit { number, waits_on, looks }),
+        1 => Just(Step::Production),
+        1 => Just(Step::Limits),
         2 => Just(Step::NewLeader),
         1 => (1u8..8).prop_map(Step::Fall),
         2 => (1u8..8, any::<bool>(), any::<bool>()).prop_map(|(bits, on, with_former)| Step::ZoneCut { bits, on, with_former }),
@@ -339,6 +311,8 @@
     done: BTreeMap<String, BTreeSet<u32>>,
     cancelled: BTreeMap<String, f64>,
     ended: BTreeMap<String, JobState>,
+    /// What each accepted job waits for.
+    waits_on: BTreeMap<String, Vec<String>>,
 }
 
 impl World {
@@ -360,6 +334,7 @@
             done: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             ended: BTreeMap::new(),
+            waits_on: BTreeMap::new(),
         };
         world.elect();
         world
@@ -371,12 +346,7 @@
         let mut core = Core::new(self.settings.clone(), token, self.now);
         core.set_types(vec![common::machine_type()]);
         core.valid_until = f64::INFINITY;
-        let records = Records {
-            open: self.store.under(OPEN),
-            run: self.store.under(RUN),
-            places: self.store.under(PLACE),
-        };
-        core.recover(records, 0, self.now);
+        core.recover(self.store.records(), 0, self.now);
         let mut former = std::mem::replace(&mut self.core, core);
         former.valid_until = self.now;
         self.former = Some((former, self.now));
@@ -392,6 +362,11 @@
                 .find(|(i, w)| *i != worker && !w.gone && w.live().any(|t| *t == task));
             assert!(elsewhere.is_none(), "ran_twice: {task} starts on {worker}");
             let (job, _) = task.rsplit_once('/').unwrap();
+            for needed in &self.waits_on[job] {
+                assert!(self.is_complete(needed), "too_early: {task}");
+                let end = &self.store.item(&end_key(needed)).expect("recorded").value;
+                assert_eq!(end["state"], "done", "{task} starts after {needed}");
+            }
             if let Some(at) = self.cancelled.get(job) {
                 let limit = self.settings.cluster.workers.cancel_s;
                 assert!(self.now - at <= limit, "ran_cancelled: {task}");
@@ -406,6 +381,23 @@
         assert!(cpus <= 10, "quota: {cpus} CPUs in use");
     }
 
+    fn tasks_of(job: &str) -> usize {
+        match job_number(job).is_some_and(|n| n % 3 == 2) {
+            true => 2,
+            false => 3,
+        }
+    }
+
+    fn is_complete(&self, job: &str) -> bool {
+        self.done.get(job).map_or(0, BTreeSet::len) == Self::tasks_of(job)
+    }
+
+    /// Whether the user of a job, or of one that it needs, has cancelled it.
+    fn is_taken_back(&self, job: &str) -> bool {
+        let needs = self.waits_on.get(job).into_iter().flatten();
+        self.cancelled.contains_key(job) || needs.into_iter().any(|n| self.is_taken_back(n))
+    }
+
     fn deliver(&mut self, worker: usize, orders: &Orders) -> Option<(bool, Report)> {
         let w = &mut self.workers[worker];
         if w.gone {
@@ -441,21 +433,19 @@
                 let mode = std::mem::take(&mut self.writes);
                 self.late.push(transaction.clone());
                 let result = match mode {
-                    2 | 3 => Err(()),
+                    2 | 3 => Err(Refusal::Conflict),
                     _ => self.store.commit(&transaction),
                 };
                 if mode == 2 {
                     self.late.pop();
                 }
+                assert!(
+                    result != Err(Refusal::TooLarge),
+                    "too large: {transaction:?}"
+                );
                 let written = match (mode, result) {
                     (0, Ok(revision)) => Written::Applied(revision),
-                    _ => Written::Reread(
-                        transaction
-                            .conditions
-                            .iter()
-                            .map(|c| (c.key.clone(), self.store.item(&c.key)))
-                            .collect(),
-                    ),
+                    _ => self.store.reread(&transaction),
                 };
                 self.core.written(id, written, self.now);
             }
@@ -497,16 +487,14 @@
             Effect::Ended { id, state } => {
                 let before = self.ended.insert(id.to_string(), state);
                 assert!(before.is_none_or(|b| b == state), "went_back: {id}");
-                if state == JobState::Done {
-                    let done = self.done.get(&*id).map_or(0, BTreeSet::len);
-                    let tasks = if job_number(&id).is_some_and(|n| n % 3 == 2) {
-                        2
-                    } else {
-                        3
-                    };
-                    assert_eq!(done, tasks, "not_done: {id}");
+                match state {
+                    JobState::Done => assert!(self.is_complete(&id), "not_done: {id}"),
+                    _ => assert!(self.is_taken_back(&id), "nobody has cancelled {id}"),
                 }
+                let recorded = &self.store.item(&end_key(&id)).expect("recorded").value;
+                assert_eq!(recorded["state"], json!(state), "{id} is told first");
             }
+            Effect::FindEnds(ids) => self.core.found(self.store.ends(&ids), self.now),
         }
     }
 
@@ -709,7 +697,23 @@
                 }
             }
             Step::Writes(mode) => self.writes = mode,
-            Step::Submit(n) => self.submit(n),
+            Step::Submit {
+                number,
+                waits_on,
+                looks,
+            } => self.submit(number, waits_on, looks),
+            Step::Production => {
+                if self.store.value_bytes > self.settings.cluster.state.record_bytes() {
+                    self.store.led_by_production(2048);
+                    self.elect();
+                }
+            }
+            Step::Limits => {
+                let next = self.settings.cluster.state.next.as_ref().unwrap();
+                // Descriptions and the ends of jobs are written by other nodes, which check them.
+                self.store.value_bytes = (next.value_kb.unwrap() * 1024.0) as usize;
+                self.store.txn_ops = next.txn_ops.unwrap();
+            }
             Step::Cancel(n) => self.cancel(n),
             Step::NewLeader => self.elect(),
             Step::Fall(bits) => {
@@ -749,14 +753,21 @@
     }
 
     /// Every third job is an array, a service that outranks the others, or a gang.
-    fn submit(&mut self, n: u8) {
+    fn submit(&mut self, n: u8, waits_on: u16, looks: bool) {
         let id = format!("req-{n}");
+        let accepted = |id: &String| self.waits_on.contains_key(id);
+        let names = (0..JOBS).filter(|i| waits_on & (1 << i) != 0 && i % 3 != 1 && *i != n);
+        // A few at the most, so that some pipelines come to their end.
+        let names = names.map(|i| format!("req-{i}")).filter(accepted).take(2);
+        let names: Vec<String> = names.collect();
         let (rig, precedence, tasks) = match n % 3 {
             0 => ("sweep", "normal", 3),
             1 => ("standing", "critical", 2),
             _ => ("group", "normal", 2),
         };
-        let spec = common::parsed(&common::submission(&id, rig, precedence, tasks));
+        let mut body = common::submission(&id, rig, precedence, tasks);
+        body["waits_on"] = json!(names);
+        let spec = common::parsed(&body);
         let record = OpenRecord {
             spec,
             at_ms: 0,
@@ -766,7 +777,24 @@
             .absent(open_key(&id))
             .absent(end_key(&id))
             .put(open_key(&id), serde_json::to_value(&record).unwrap());
-        if let Ok(version) = self.store.commit(&txn) {
+        let ended = |id: &String| self.store.item(&end_key(id)).map(|i| i.value);
+        if looks
+            && names
+                .iter()
+                .any(|n| ended(n).is_some_and(|v| v["state"] == "cancelled"))
+        {
+            let txn = Transaction::default()
+                .absent(open_key(&id))
+                .absent(end_key(&id))
+                .put(end_key(&id), json!({"state": "cancelled"}));
+            if self.store.commit(&txn).is_ok() {
+                self.waits_on.insert(id.clone(), names);
+                self.core.ended(&id, JobState::Cancelled, self.now);
+            }
+            return;
+        }
+        if let Ok(version) = self.commit_of_a_node(&txn) {
+            self.waits_on.insert(id, names);
             self.core.job_opened(record, version, 0, self.now);
         }
     }
@@ -783,17 +811,26 @@
             .version(open_key(&id), item.version)
             .put(end_key(&id), json!({"state":"cancelled"}))
             .put(open_key(&id), serde_json::to_value(&record).unwrap());
-        if self.store.commit(&txn).is_ok() {
+        if self.commit_of_a_node(&txn).is_ok() {
             self.cancelled.insert(id.clone(), self.now);
-            self.core.cancel(&id, self.now);
+            self.core.ended(&id, JobState::Cancelled, self.now);
         }
     }
 
+    /// What nodes write for users has other bounds than these histories', which are narrow so that
+    /// the leader's records are cut often.
+    fn commit_of_a_node(&mut self, txn: &Transaction) -> Result<u64, Refusal> {
+        let narrow = std::mem::replace(&mut self.store.value_bytes, usize::MAX);
+        let result = self.store.commit(txn);
+        self.store.value_bytes = narrow;
+        result
+    }
+
     /// Lets everything heal; what was accepted must come to its end.
     fn heal(&mut self) {
         self.holding = false;
         self.former = None;
-        for service in [1, 4] {
+        for service in [1, 4, 7] {
             self.cancel(service);
         }
         for i in 0..600 {
@@ -820,6 +857,14 @@
             "never ended: {:?}",
             open.iter().map(|i| &i.key).collect::<Vec<_>>()
         );
+        for id in self.waits_on.keys() {
+            let end = self.store.item(&end_key(id)).expect("recorded").value;
+            let expected = match self.is_taken_back(id) {
+                true => "cancelled",
+                false => "done",
+            };
+            assert_eq!(end["state"], expected, "orphaned, or lost: {id}");
+        }
     }
 }
 
@@ -834,7 +879,7 @@
     #[test]
     fn no_history_breaks_a_rule(steps in prop::collection::vec(step(), 20..160)) {
         let mut world = World::new();
-        world.submit(0);
+        world.submit(0, 0, true);
         for w in 0..3 {
             world.apply(Step::Report { worker: w, answer_lost: false });
         }
--- /dev/null
+++ b/tests/pipelines.rs
@@ -0,0 +1,385 @@
+//! Jobs that wait for others: what starts when, what ends with what, and whose deadline counts.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use stairstage::bookkeeping::records::*;
+use stairstage::coordination::core::{Core, Effect, Written};
+use stairstage::protocol::job::{JobSpec, JobState};
+use stairstage::protocol::store::Transaction;
+use stairstage::protocol::worker::*;
+use std::collections::BTreeMap;
+
+/// A core with the records that it writes, and the ends that it has looked up.
+struct Leader {
+    core: Core,
+    store: Store,
+    sought: Vec<String>,
+    launched: Vec<(String, u64)>,
+    ended: BTreeMap<String, JobState>,
+    /// Whether its writes are applied.
+    writes: bool,
+    /// Whether ends can be read.
+    reads: bool,
+}
+
+impl Leader {
+    fn new() -> Leader {
+        Leader {
+            core: core(),
+            store: Store::default(),
+            sought: Vec::new(),
+            launched: Vec::new(),
+            ended: BTreeMap::new(),
+            writes: true,
+            reads: true,
+        }
+        .elected(0.0)
+    }
+
+    /// Another leader takes over, with the records alone.
+    fn elected(mut self, now: f64) -> Leader {
+        let txn = Transaction::default().put(LEADER, json!({"node": "a"}));
+        let token = self.store.commit(&txn).unwrap();
+        self.core = core_with_token(token);
+        // The time of day is that of the test.
+        self.core
+            .recover(self.store.records(), (1000.0 * now) as u64, now);
+        self
+    }
+
+    fn submit(&mut self, id: &str, waits_on: &[&str], change: impl FnOnce(&mut Value), now: f64) {
+        let mut body = submission(id, "sweep", "normal", 2);
+        body["waits_on"] = json!(waits_on);
+        change(&mut body);
+        let record = OpenRecord {
+            spec: parsed(&body),
+            at_ms: (1000.0 * now) as u64,
+            cancelled: false,
+        };
+        let value = serde_json::to_value(&record).unwrap();
+        let txn = Transaction::default().put(open_key(id), value);
+        let version = self.store.commit(&txn).unwrap();
+        self.core
+            .job_opened(record, version, (1000.0 * now) as u64, now);
+    }
+
+    /// As any node does it for a user, and the leader hears of it.
+    fn cancel(&mut self, id: &str, now: f64) {
+        let item = self.store.item(&open_key(id)).unwrap();
+        let record: OpenRecord = serde_json::from_value(item.value).unwrap();
+        let record = serde_json::to_value(record.taken_back(2000)).unwrap();
+        let txn = Transaction::default()
+            .put(end_key(id), json!({"state": "cancelled"}))
+            .put(open_key(id), record);
+        self.store.commit(&txn).unwrap();
+        self.core.ended(id, JobState::Cancelled, now);
+    }
+
+    fn act(&mut self, now: f64) {
+        let Leader {
+            core,
+            store,
+            sought,
+            launched,
+            ended,
+            writes,
+            reads,
+        } = self;
+        each_effect(core, now, |core, effect| match effect {
+            Effect::Write { id, transaction } if *writes => {
+                let written = match store.commit(&transaction) {
+                    Ok(revision) => Written::Applied(revision),
+                    Err(_) => store.reread(&transaction),
+                };
+                core.written(id, written, now);
+            }
+            Effect::FindEnds(ids) => {
+                sought.extend(ids.iter().map(|id| id.to_string()));
+                let unread = || ids.iter().map(|id| (id.clone(), None)).collect();
+                let ends = if *reads { store.ends(&ids) } else { unread() };
+                core.found(ends, now);
+            }
+            Effect::Orders { orders, .. } => launched.extend(starts(&orders.commands)),
+            Effect::Ended { id, state } => {
+                ended.insert(id.to_string(), state);
+            }
+            _ => {}
+        });
+    }
+
+    /// The machine shows what was launched on it: these jobs' tasks are over, the others run.
+    fn report(&mut self, seq: u64, over: &[&str], now: f64) {
+        let done = |name: &str| over.iter().any(|id| name.starts_with(&format!("{id}/")));
+        let show = |(task, attempt): &(String, u64)| {
+            let (state, cause) = match done(task) {
+                true => (TaskState::Exited, Some(Cause::Done)),
+                false => (TaskState::Running, None),
+            };
+            shown(&[(task.clone(), *attempt)], state, cause).remove(0)
+        };
+        let tasks = self.launched.iter().map(show).collect();
+        let report = worker_report("m-1", seq, self.core.token, tasks);
+        let mut answer = self.core.report(&report, now);
+        if let stairstage::coordination::core::Heard::Answer(answer) = &mut answer {
+            self.launched.extend(starts(&answer.commands));
+        }
+        // A direct command has been answered by that as well.
+        self.core.ordered(
+            &"m-1".into(),
+            stairstage::coordination::core::Ordered::Executed(report),
+            now,
+        );
+    }
+
+    fn has_launched(&self, id: &str) -> bool {
+        self.launched
+            .iter()
+            .any(|(t, _)| t.starts_with(&format!("{id}/")))
+    }
+
+    fn end(&self, id: &str) -> Option<Value> {
+        Some(self.store.item(&end_key(id))?.value["state"].clone())
+    }
+}
+
+fn plain(_: &mut Value) {}
+
+#[test]
+fn a_job_starts_only_once_the_end_of_what_it_needs_is_recorded() {
+    let mut leader = Leader::new();
+    leader.report(1, &[], 0.0);
+    leader.submit("req-1", &[], plain, 0.0);
+    leader.submit("req-2", &["req-1"], plain, 0.0);
+    leader.act(0.0);
+    assert!(leader.has_launched("req-1") && !leader.has_launched("req-2"));
+    // All its tasks are complete, but that is not on record: a cancellation could still win.
+    leader.writes = false;
+    leader.report(2, &["req-1"], 1.0);
+    leader.act(1.0);
+    leader.act(2.0);
+    assert!(!leader.has_launched("req-2"));
+    assert_eq!(
+        leader.core.status("req-2").unwrap().state,
+        JobState::Pending
+    );
+    let mut leader = leader.elected(2.0);
+    leader.writes = true;
+    leader.report(3, &["req-1"], 3.0);
+    leader.act(3.0);
+    leader.report(4, &["req-1"], 3.5);
+    leader.act(4.0);
+    assert_eq!(leader.end("req-1"), Some(json!("done")));
+    assert!(leader.has_launched("req-2"));
+}
+
+#[test]
+fn a_new_leader_looks_up_the_ends_that_it_needs_each_once_and_waits_until_then() {
+    let mut leader = Leader::new();
+    leader
+        .store
+        .values
+        .insert(end_key("req-1"), (json!({"state": "done"}), 1));
+    leader.submit("req-2", &["req-1"], plain, 0.0);
+    leader.submit("req-3", &["req-1", "req-2"], plain, 0.0);
+    leader.reads = false;
+    let mut leader = leader.elected(1.0);
+    leader.report(1, &[], 1.0);
+    leader.act(1.0);
+    assert!(
+        leader.launched.is_empty(),
+        "what is not known means waiting"
+    );
+    leader.reads = true;
+    leader.act(3.0);
+    assert!(leader.has_launched("req-2") && !leader.has_launched("req-3"));
+    leader.sought.clear();
+    leader.act(9.0);
+    assert!(leader.sought.is_empty(), "{:?}", leader.sought);
+    // Its places prove that it waits no more: nothing needs to be looked up for it.
+    let mut leader = leader.elected(10.0);
+    leader.submit("req-4", &[], plain, 10.0);
+    leader.act(10.0);
+    assert_eq!(leader.sought, ["req-1"], "for req-3 alone");
+}
+
+#[test]
+fn cancelling_a_job_cancels_all_that_need_it_and_nothing_else() {
+    let mut leader = Leader::new();
+    leader.report(1, &[], 0.0);
+    leader.submit("req-1", &[], plain, 0.0);
+    leader.submit("req-2", &["req-1"], plain, 0.0);
+    leader.submit("req-3", &["req-2"], plain, 0.0);
+    leader.submit("req-4", &["req-3", "req-5"], plain, 0.0);
+    leader.submit("req-5", &[], plain, 0.0);
+    leader.act(0.0);
+    leader.cancel("req-1", 1.0);
+    // Users are told once it is on record, not before.
+    leader.writes = false;
+    leader.act(1.0);
+    assert_eq!(leader.ended.keys().collect::<Vec<_>>(), ["req-1"]);
+    assert_eq!(
+        leader.core.status("req-3").unwrap().state,
+        JobState::Pending
+    );
+    // The leader ends halfway; the next one finds the rest by the records.
+    leader.store.values.remove(&open_key("req-2"));
+    leader
+        .store
+        .values
+        .insert(end_key("req-2"), (json!({"state": "cancelled"}), 9));
+    leader.writes = true;
+    let mut leader = leader.elected(2.0);
+    leader.act(2.0);
+    for id in ["req-1", "req-2", "req-3", "req-4"] {
+        assert_eq!(leader.end(id), Some(json!("cancelled")), "{id}");
+    }
+    for id in ["req-3", "req-4"] {
+        assert_eq!(leader.ended[id], JobState::Cancelled);
+        assert!(leader.store.item(&open_key(id)).is_none());
+    }
+    assert_eq!(leader.end("req-5"), None);
+    // One that names a cancelled job later ends as well, however far that is away.
+    leader.submit("req-6", &["req-4"], plain, 3.0);
+    leader.submit("req-7", &["req-6"], plain, 3.0);
+    leader.act(3.0);
+    assert_eq!(leader.end("req-7"), Some(json!("cancelled")));
+}
+
+#[test]
+fn a_cancellation_that_comes_after_the_end_cancels_nothing() {
+    let mut leader = Leader::new();
+    leader.submit("req-2", &["req-1"], plain, 0.0);
+    leader
+        .store
+        .values
+        .insert(end_key("req-1"), (json!({"state": "done"}), 1));
+    leader.report(1, &[], 0.0);
+    leader.act(0.0);
+    leader.core.ended("req-1", JobState::Done, 1.0);
+    assert!(leader.has_launched("req-2"));
+    assert_eq!(leader.end("req-2"), None);
+}
+
+#[test]
+fn a_user_and_the_leader_may_cancel_the_same_job() {
+    let mut leader = Leader::new();
+    leader.submit("req-1", &[], plain, 0.0);
+    leader.submit("req-2", &["req-1"], plain, 0.0);
+    leader.cancel("req-1", 0.0);
+    // Written by another node, of which the leader has not heard.
+    leader
+        .store
+        .values
+        .insert(end_key("req-2"), (json!({"state": "cancelled"}), 7));
+    leader.act(0.0);
+    leader.act(1.0);
+    assert!(leader.store.under(OPEN).is_empty());
+    assert_eq!(leader.ended["req-2"], JobState::Cancelled);
+}
+
+#[test]
+fn a_job_that_waits_holds_no_part_of_a_guarantee() {
+    let text = SETTINGS.replace(
+        "{ name = \"t\" }",
+        "{ name = \"t\", cpus = 2.0, cpus_max = 2.0 }",
+    );
+    let settings = stairstage::settings::Settings::parse("test", &text).unwrap();
+    let mut leader = Leader::new();
+    leader.core = Core::new(settings.into(), 1, 0.0);
+    leader.core.valid_until = f64::INFINITY;
+    leader.core.set_types(vec![machine_type()]);
+    leader.report(1, &[], 0.0);
+    // The first waits for ever; the second fits the guarantee, and the limit, by itself.
+    leader.submit("req-1", &["req-9"], plain, 0.0);
+    leader.submit("req-2", &[], plain, 1.0);
+    leader.act(1.0);
+    assert!(leader.has_launched("req-2"));
+    assert_eq!(leader.launched.len(), 2);
+}
+
+/// Which of two jobs of different pipelines goes first, on a machine with room for one of them.
+fn first_of(a: impl FnOnce(&mut Leader), b: impl FnOnce(&mut Leader)) -> String {
+    let mut leader = Leader::new();
+    leader.report(1, &[], 0.0);
+    let wide = |v: &mut Value| v["cpus"] = json!(2.0);
+    leader.submit("req-1", &[], wide, 0.0);
+    leader.submit("req-2", &[], wide, 0.0);
+    a(&mut leader);
+    b(&mut leader);
+    leader.act(0.5);
+    leader.launched[0].0.rsplit_once('/').unwrap().0.to_string()
+}
+
+#[test]
+fn a_stage_has_the_priority_and_the_deadline_of_what_needs_it() {
+    let urgent = |v: &mut Value| v["precedence"] = json!("urgent");
+    let due = |s: f64| move |v: &mut Value| v["due_s"] = json!(s);
+    // Alone, the first to come is the first to go.
+    assert_eq!(first_of(|_| (), |_| ()), "req-1");
+    // The priority of the last, through one that is between.
+    let pipeline = |l: &mut Leader| {
+        l.submit("req-3", &["req-2"], plain, 0.0);
+        l.submit("req-4", &["req-3"], urgent, 0.0);
+    };
+    assert_eq!(first_of(|_| (), pipeline), "req-2");
+    // Taken back with the job that had it.
+    let cancelled = |l: &mut Leader| l.cancel("req-4", 0.0);
+    assert_eq!(first_of(pipeline, cancelled), "req-1");
+    // Of two deadlines, the one that leaves less time for what comes before it.
+    let long = |l: &mut Leader| {
+        l.submit("req-3", &["req-1"], due(200.0), 0.0);
+    };
+    let short = |l: &mut Leader| {
+        l.submit("req-5", &["req-2"], plain, 0.0);
+        l.submit("req-6", &["req-5"], due(190.0), 0.0);
+    };
+    assert_eq!(first_of(long, short), "req-2");
+    // The longest way counts: two stages of 20 s at most are between.
+    let late = |l: &mut Leader| {
+        l.submit("req-5", &["req-2"], plain, 0.0);
+        l.submit("req-6", &["req-5", "req-2"], due(210.0), 0.0);
+    };
+    assert_eq!(first_of(long, late), "req-2");
+}
+
+#[test]
+fn a_job_comes_to_the_queue_when_it_may_begin() {
+    // A new leader finds that moment by the end's record.
+    let mut leader = Leader::new();
+    let wide = |v: &mut Value| v["cpus"] = json!(2.0);
+    leader.submit("req-2", &["req-1"], wide, 0.0);
+    leader.submit("req-3", &[], wide, 100.0);
+    let end = json!({"state": "done", "at_ms": 140_000});
+    leader.store.values.insert(end_key("req-1"), (end, 1));
+    let mut leader = leader.elected(150.0);
+    leader.act(150.0);
+    leader.report(1, &[], 150.0);
+    leader.act(150.5);
+    // It came first, but may begin last.
+    assert!(leader.has_launched("req-3") && !leader.has_launched("req-2"));
+}
+
+#[test]
+fn what_a_submission_waits_on_is_checked() {
+    let parse = |waits_on: Value| {
+        let mut body = submission("req-1", "sweep", "normal", 1);
+        body["waits_on"] = waits_on;
+        JobSpec::parse(body.to_string().as_bytes())
+    };
+    for none in [json!(null), json!([])] {
+        assert!(parse(none).unwrap().waits_on.is_empty());
+    }
+    let twice = json!(["req-2", "req-3", "req-2"]);
+    assert_eq!(parse(twice).unwrap().waits_on, ["req-2", "req-3"]);
+    for bad in [
+        json!("req-2"),
+        json!({}),
+        json!([2]),
+        json!(["run-2"]),
+        json!([null]),
+    ] {
+        assert_eq!(parse(bad.clone()).unwrap_err().field, "waits_on", "{bad}");
+    }
+}
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -181,6 +181,7 @@
                 self.core
                     .ordered(&machine, Ordered::Executed(report), self.now);
             }
+            Effect::FindEnds(_) => {}
             // The fleet stays as it is.
             Effect::Return(names) => self.core.returned(&names, false, self.now),
             Effect::Rent(rent) => self.core.rented(&rent.request, Some(Vec::new()), self.now),
