--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use stairstage::bookkeeping::records::OpenRecord;
 use stairstage::coordination::core::{Core, Effect, Ordered, Written};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
@@ -160,6 +161,81 @@
     assert!(changes <= 30, "{changes} changes for 120 jobs");
 }
 
+/// Few changes a second for small records, a fleet on which tasks end and others follow all the time,
+/// and as many machines again that come up at once. Returns how long these waited at most for all of
+/// their first tasks.
+fn second_half_of_a_fleet(machines: usize) -> f64 {
+    let text = SETTINGS.replace("write_rps = 100.0", "write_rps = 5.0");
+    let text = text.replace("value_kb = 16.0", "value_kb = 1.0");
+    let settings = Arc::new(Settings::parse("test", &text).unwrap());
+    let mut core = Core::new(settings, 1, 0.0);
+    core.valid_until = f64::INFINITY;
+    core.set_types(vec![machine_type()]);
+    // Large enough that their ends cost next to nothing.
+    for n in 1..=4 {
+        let spec = parsed(&submission(&format!("req-{n}"), "sweep", "normal", 2000));
+        let (at_ms, cancelled) = (0, false);
+        let record = OpenRecord {
+            spec,
+            at_ms,
+            cancelled,
+        };
+        core.job_opened(record, n, 0, 0.0);
+    }
+    let mut seqs = vec![0; machines];
+    let mut tasks: Vec<Vec<TaskReport>> = vec![Vec::new(); machines];
+    let mut launched = vec![0; machines];
+    let come_at = 30.0;
+    for tenth in 0..900 {
+        let now = f64::from(tenth) / 10.0;
+        let up = if now < come_at {
+            machines / 2
+        } else {
+            machines
+        };
+        // Each reports every two seconds, and half of them that a task of theirs has ended.
+        for i in 0..up {
+            if (i + tenth as usize) % 20 > 0 && seqs[i] > 0 {
+                continue;
+            }
+            seqs[i] += 1;
+            let ends = i % 40 < 20;
+            if let Some(t) = tasks[i].iter_mut().find(|_| ends) {
+                t.state = TaskState::Exited;
+                t.cause = Some(Cause::Done);
+            }
+            let name = format!("m-{i}");
+            report_of(&mut core, &name, seqs[i], None, tasks[i].clone(), now);
+            tasks[i].retain(|t| t.state != TaskState::Exited);
+        }
+        carry_out_all(&mut core, now, |effect| {
+            if let Effect::Orders {
+                machine, orders, ..
+            } = effect
+            {
+                let i: usize = machine[2..].parse().unwrap();
+                let started = starts(&orders.commands);
+                launched[i] += started.len();
+                tasks[i].extend(shown(&started, TaskState::Running, None));
+            }
+        });
+        if launched.iter().all(|n| *n >= 4) {
+            return now - come_at;
+        }
+    }
+    f64::INFINITY
+}
+
+#[test]
+fn no_launch_waits_for_ever_for_its_record_while_changes_are_few() {
+    // A record holds some 30 places, and 3 changes a second are the leader's: 400 places take five
+    // seconds. By their numbers, the records of what follows on the others would always go first; and
+    // if places filled small gaps, each would cost a change.
+    let waited = second_half_of_a_fleet(200);
+
+    assert!(waited < 8.0, "{waited} s");
+}
+
 fn serve(bounds: Bounds) -> SocketAddr {
     let runtime = Runtime::start().unwrap();
     let handler = |_call, respond: stairstage::transport::Respond| respond(Reply::json(200, &()));
