--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -340,6 +340,8 @@
             return Ok(Needed::Never("waits_on: names the job itself".into()));
         }
         let at_once = (self.settings.cluster.state.conditions() / 2).max(1);
+        // All are looked at: one that was never accepted weighs more than a cancelled one.
+        let mut cancelled = false;
         for ids in spec.waits_on.chunks(at_once) {
             let mut txn = Transaction::default();
             for id in ids {
@@ -353,15 +355,16 @@
             for id in ids {
                 if there.contains(&end_key(id)) {
                     let end = self.store.read::<EndRecord>(&end_key(id))?;
-                    if end.is_some_and(|(end, _)| end.state == JobState::Cancelled) {
-                        return Ok(Needed::Cancelled);
-                    }
+                    cancelled |= end.is_some_and(|(end, _)| end.state == JobState::Cancelled);
                 } else if !there.contains(&open_key(id)) && self.recorded(id)?.is_none() {
                     return Ok(Needed::Never(format!("waits_on: {id} was never accepted")));
                 }
             }
         }
-        Ok(Needed::Accepted)
+        Ok(match cancelled {
+            true => Needed::Cancelled,
+            false => Needed::Accepted,
+        })
     }
 
     /// Accepts a job that needs a cancelled one: its end is all that there is to record of it.
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -224,4 +224,7 @@
     assert_eq!(told, "cancelled");
     assert_eq!(submit(b, &waiting("req-7", &["req-6"])), 200);
     assert!(!started("req-5") && !started("req-6"));
+    // A cancelled one does not hide another that was never accepted, whichever is named first.
+    assert_eq!(submit(a, &waiting("req-8", &["req-6", "req-9"])), 422);
+    assert_eq!(submit(b, &waiting("req-8", &["req-0", "req-6"])), 422);
 }
