Nobody calls a job pending whose fate hangs on a cancelled one

A leader says nothing of a job that is doomed, or that needs one whose end it has not looked up yet; a node that answers from the records follows what the job needs. Otherwise an outage and a failover after a cancellation, longer together than cancel_s, would have made the job orphaned.

--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -85,9 +85,13 @@
         })
     }
 
-    /// What a user is told; `None` for a job that is not open here.
+    /// What a user is told; `None` for a job that is not open here, or that may have to end with one
+    /// that it needs: nobody may call it pending for long after that one was cancelled.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
         let job = self.jobs.get(id)?;
+        if !job.cancelled && (job.doomed || self.is_in_doubt(job)) {
+            return None;
+        }
         let running = job.running;
         let state = match (job.cancelled, running + job.done) {
             (true, _) => JobState::Cancelled,
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -36,6 +36,13 @@
         self.pipelines.needed_by.contains_key(id)
     }
 
+    /// Whether it is not known what has become of a job that this one needs.
+    pub(super) fn is_in_doubt(&self, job: &Job) -> bool {
+        job.needs
+            .iter()
+            .any(|id| self.pipelines.unknown.contains(id))
+    }
+
     /// A new job: what it waits for, and who waits for it.
     pub(super) fn enlist(&mut self, id: &Name, now: Time) {
         self.pipelines.unknown.remove(id);
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -105,6 +105,8 @@
 const AVOID: Duration = Duration::from_secs(2);
 /// A transaction without an answer is tried again so often.
 const TRIES: usize = 3;
+/// Jobs that are read at the most to see whether one that another needs is cancelled.
+const MOST_FOLLOWED: usize = 24;
 
 impl Gateway {
     pub fn run(self) {
@@ -248,6 +250,8 @@
                 id,
                 JobState::Cancelled,
             ))),
+            // Its own end may lag behind that of a job that it needs.
+            Some((record, _)) if self.needs_cancelled(&record)? => Err(Unavailable),
             Some(_) => Ok(Some(without_counts(id, JobState::Pending))),
             None => {
                 let end = self.store.read::<EndRecord>(&end_key(id))?;
@@ -256,6 +260,28 @@
         }
     }
 
+    /// Whether a job that this one needs is cancelled, directly or through others. Who needs more
+    /// than can be read in a moment is answered by the leader.
+    fn needs_cancelled(&self, record: &OpenRecord) -> Result<bool, Unavailable> {
+        let mut left = record.spec.waits_on.clone();
+        for _ in 0..MOST_FOLLOWED {
+            let Some(id) = left.pop() else {
+                return Ok(false);
+            };
+            match self.store.read::<OpenRecord>(&open_key(&id))? {
+                Some((needed, _)) if needed.cancelled => return Ok(true),
+                Some((needed, _)) => left.extend(needed.spec.waits_on),
+                None => {
+                    let end = self.store.read::<EndRecord>(&end_key(&id))?;
+                    if end.is_some_and(|(end, _)| end.state == JobState::Cancelled) {
+                        return Ok(true);
+                    }
+                }
+            }
+        }
+        Err(Unavailable)
+    }
+
     fn query(&self, id: &str) -> Result<Reply, Unavailable> {
         Ok(match self.recorded(id)? {
             Some(status) => Reply::json(200, &status),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -5,6 +5,8 @@
 mod standins;
 
 use serde_json::{json, Value};
+use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::protocol::job::JobSpec;
 use standins::*;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -228,3 +230,51 @@
     assert_eq!(submit(a, &waiting("req-8", &["req-6", "req-9"])), 422);
     assert_eq!(submit(b, &waiting("req-8", &["req-0", "req-6"])), 422);
 }
+
+#[test]
+fn a_node_without_a_leader_does_not_call_a_job_pending_that_needs_a_cancelled_one() {
+    let grid = Grid::new("orphans");
+    let spec = |id: &str, waits_on: &[&str]| {
+        let spec = JobSpec::parse(waiting(id, waits_on).to_string().as_bytes()).unwrap();
+        let record = OpenRecord {
+            spec,
+            at_ms: 0,
+            cancelled: false,
+        };
+        serde_json::to_value(&record).unwrap()
+    };
+    {
+        // The leader is gone, and its lease holds for long.
+        let mut state = grid.state.lock().unwrap();
+        state.revision = 9;
+        let mut put = |key: &str, value: Value| {
+            let lease = (key == "leader").then_some(7);
+            state.keys.insert(key.into(), (value, 9, lease));
+        };
+        put("leader", json!({"node": "n9"}));
+        put("end/req-1", json!({"state": "cancelled"}));
+        put("end/req-2", json!({"state": "done"}));
+        put("open/req-3", spec("req-3", &["req-2", "req-1"]));
+        put("open/req-4", spec("req-4", &["req-3"]));
+        put("open/req-5", spec("req-5", &["req-2"]));
+        let life = (Instant::now(), Duration::from_secs(3600));
+        state.leases.insert(7, life);
+    }
+    let _node = grid.start(0);
+    let poll = |id: &str| {
+        call(
+            "GET",
+            &grid.front(0),
+            &format!("/v2/runs/{id}"),
+            &Value::Null,
+        )
+    };
+    let (_, told) = until("one that needs what is done is answered", || {
+        poll("req-5").filter(|a| a.0 == 200)
+    });
+    assert_eq!(told["status"], "pending");
+    for id in ["req-3", "req-4"] {
+        let status = until("there is an answer", || poll(id)).0;
+        assert_eq!(status, 503, "{id}");
+    }
+}
