--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -290,44 +290,18 @@
     }
 
     fn submit(&self, spec: &JobSpec) -> Result<Reply, Unavailable> {
-        let types = self.types.get();
-        let refusal = match types.is_empty() {
-            true => Some(Reply::later("the machine types are not known yet")),
-            false => cannot_run(spec, &self.settings, &types).map(|why| Reply::error(422, why)),
-        };
-        if let Some(refusal) = refusal {
-            // What was accepted once stays accepted.
-            return Ok(match self.recorded(&spec.id)? {
-                Some(status) => Reply::json(200, &status),
-                None => refusal,
-            });
-        }
-        match self.needed(spec)? {
-            Needed::Accepted => {}
-            Needed::Never(why) => {
-                return Ok(match self.recorded(&spec.id)? {
-                    Some(status) => Reply::json(200, &status),
-                    None => Reply::error(422, why),
-                });
-            }
-            Needed::Cancelled => return self.accept_cancelled(&spec.id),
-        }
         let record = OpenRecord {
             spec: spec.clone(),
             at_ms: wall_ms(),
             cancelled: false,
         };
-        let most_bytes = self.settings.cluster.state.record_bytes();
-        if record.bytes() > most_bytes {
-            let why = format!(
-                "the description takes {} bytes in the records, of at most {most_bytes}",
-                record.bytes()
-            );
-            // A version that may write more can have accepted it.
-            return Ok(match self.recorded(&spec.id)? {
-                Some(status) => Reply::json(200, &status),
-                None => Reply::error(400, why),
-            });
+        if let Some(refusal) = self.refusal(&record) {
+            return self.unless_known(&spec.id, refusal);
+        }
+        match self.needed(spec)? {
+            Needed::Accepted => {}
+            Needed::Never(why) => return self.unless_known(&spec.id, Reply::error(422, why)),
+            Needed::Cancelled => return self.accept_cancelled(&spec.id),
         }
         let txn = Transaction::default()
             .absent(open_key(&spec.id))
@@ -336,21 +310,49 @@
                 open_key(&spec.id),
                 serde_json::to_value(&record).expect("plain data"),
             );
+        let version = match self.accept(&spec.id, &txn)? {
+            Ok(version) => version,
+            Err(reply) => return Ok(reply),
+        };
+        let opened = Message::Opened(Box::new(record), version);
+        let _ = self.controller.try_send(opened);
+        let accepted = serde_json::json!({"name_id": spec.id, "status": "pending"});
+        Ok(Reply::json(201, &accepted))
+    }
+
+    /// Why a submission is not taken, as far as that shows without asking the state service.
+    fn refusal(&self, record: &OpenRecord) -> Option<Reply> {
+        let types = self.types.get();
+        if types.is_empty() {
+            return Some(Reply::later("the machine types are not known yet"));
+        }
+        if let Some(why) = cannot_run(&record.spec, &self.settings, &types) {
+            return Some(Reply::error(422, why));
+        }
+        let (bytes, most) = (record.bytes(), self.settings.cluster.state.record_bytes());
+        let why = format!("the description takes {bytes} bytes in the records, of at most {most}");
+        (bytes > most).then(|| Reply::error(400, why))
+    }
+
+    /// What was accepted once stays accepted, by whatever version.
+    fn unless_known(&self, id: &str, refusal: Reply) -> Result<Reply, Unavailable> {
+        Ok(match self.recorded(id)? {
+            Some(status) => Reply::json(200, &status),
+            None => refusal,
+        })
+    }
+
+    /// Writes the acceptance of a job: its version, or what is answered where the job is known.
+    fn accept(&self, id: &str, txn: &Transaction) -> Result<Result<u64, Reply>, Unavailable> {
         for _ in 0..TRIES {
-            match self.store.commit(&txn) {
-                Outcome::Applied(version) => {
-                    let _ = self
-                        .controller
-                        .try_send(Message::Opened(Box::new(record), version));
-                    let accepted = serde_json::json!({"name_id": spec.id, "status": "pending"});
-                    return Ok(Reply::json(201, &accepted));
-                }
+            match self.store.commit(txn) {
+                Outcome::Applied(version) => return Ok(Ok(version)),
                 // Accepted before, perhaps by a try of ours whose answer was lost.
                 Outcome::Conflict(_) => {
-                    return Ok(match self.recorded(&spec.id)? {
+                    return Ok(Err(match self.recorded(id)? {
                         Some(status) => Reply::json(200, &status),
                         None => Reply::later("the job is just being accepted"),
-                    });
+                    }));
                 }
                 Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
                 Outcome::Unknown => {}
@@ -399,20 +401,10 @@
             .absent(open_key(id))
             .absent(end_key(id))
             .put(end_key(id), cancelled_end());
-        for _ in 0..TRIES {
-            match self.store.commit(&txn) {
-                Outcome::Applied(_) => return Ok(self.cancelled(id, 201)),
-                Outcome::Conflict(_) => {
-                    return Ok(match self.recorded(id)? {
-                        Some(status) => Reply::json(200, &status),
-                        None => Reply::later("the job is just being accepted"),
-                    });
-                }
-                Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
-                Outcome::Unknown => {}
-            }
-        }
-        Err(Unavailable)
+        Ok(match self.accept(id, &txn)? {
+            Ok(_) => self.cancelled(id, 201),
+            Err(reply) => reply,
+        })
     }
 
     fn cancel(&self, id: &str) -> Result<Reply, Unavailable> {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -180,6 +180,16 @@
     assert_eq!(submit(1, &waiting("req-2", &["req-1"])), 422);
     assert_eq!(submit(1, &waiting("req-2", &["req-2"])), 422);
     assert_eq!(submit(1, &waiting("req-2", &["nothing"])), 400);
+    // More than a record can hold: the answer names the bound, and asks nobody first.
+    let many: Vec<String> = (100..2000).map(|n| format!("req-{n}")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    let path = &grid.front(1);
+    let (status, told) = call("POST", path, "/v2/runs", &waiting("req-2", &many)).unwrap();
+    assert_eq!(status, 400);
+    assert!(
+        told["error"].as_str().unwrap().contains("of at most 13926"),
+        "{told}"
+    );
     assert_eq!(submit(0, &small_job("req-1")), 201);
     assert_eq!(submit(1, &waiting("req-2", &["req-1"])), 201);
     assert_eq!(submit(2, &waiting("req-3", &["req-2", "req-1"])), 201);
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -139,6 +139,26 @@
             "settings.state.write_rps = -1",
         ),
         ("txn_ops = 16", "txn_ops = 1", "settings.state.txn_ops = 1"),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\nnext = { value_kb = 0.0 }",
+            "settings.state.next.value_kb = 0",
+        ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\nnext = { write_rps = -3.0 }",
+            "settings.state.next.write_rps = -3",
+        ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\nnext = { txn_ops = 2 }",
+            "settings.state.next.txn_ops = 2",
+        ),
+        (
+            "txn_ops = 16",
+            "txn_ops = 16\nnext = { txn_ops = \"few\" }",
+            "few",
+        ),
         (
             "max_sockets = 2500",
             "max_sockets = 3",
@@ -156,6 +176,23 @@
     }
 }
 
+#[test]
+fn the_smaller_of_both_limits_holds_for_what_is_written() {
+    let state = |next: &str| {
+        let text = SETTINGS.replace("txn_ops = 16", &format!("txn_ops = 16\n{next}"));
+        Settings::parse("f.toml", &text).unwrap().cluster.state
+    };
+    let now = state("");
+    assert_eq!((now.record_bytes(), now.changes()), (13926, 16));
+    assert_eq!((now.conditions(), now.later_write_rps()), (64, 60.0));
+    let less = state("next = { value_kb = 2.0, txn_ops = 5, write_rps = 42.0 }");
+    assert_eq!((less.record_bytes(), less.changes()), (1740, 5));
+    assert_eq!((less.conditions(), less.later_write_rps()), (20, 42.0));
+    let some = state("next = { value_kb = 64.0, write_rps = 80.0 }");
+    assert_eq!((some.record_bytes(), some.changes()), (13926, 16));
+    assert_eq!(some.later_write_rps(), 60.0);
+}
+
 #[test]
 fn the_operators_file_names_what_is_wrong() {
     let policy = Policy::parse("p", "(policy (idle 2.0) ; a comment\n (spot no))").unwrap();
