--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -396,10 +396,10 @@
                 state: JobState::Cancelled,
             });
         } else if !job.cancelled {
-            let due = job
-                .spec
-                .deadline_s
-                .map_or(String::new(), |s| format!(", due after {s:.0}"));
+            let due = job.spec.deadline_s.map_or(String::new(), |s| {
+                let since = now - job.arrived;
+                format!(", {since:.0} s after its submission, due after {s:.0}")
+            });
             let started = job.first_run.map_or(0.0, |t| t - job.ready);
             let took = now - job.ready;
             info!("{id}: done, started after {started:.0} s, took {took:.0}{due}");
