One piece of code for what stood several times; no behaviour changes

All places of a job are stopped in one place (it stood five times, one of them older); accepting a job and reading a cancelled end stand once each in the gateway; a job's first record has a constructor, which the tests use too. Limits to come that say nothing need no Option around them. Ends that a node knows no longer travel through the thread that reads the others. The urgency of a record is worked out once a choice instead of twice a comparison.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -116,6 +116,15 @@
 }
 
 impl OpenRecord {
+    /// The record of a job that is accepted at a time of day.
+    pub fn accepted(spec: JobSpec, at_ms: u64) -> OpenRecord {
+        OpenRecord {
+            spec,
+            at_ms,
+            cancelled: false,
+        }
+    }
+
     /// The record of a job that its user has taken back. Where it would be larger than a record may
     /// be, as an old one is under smaller limits, it loses what only the placing of tasks needs.
     pub fn taken_back(mut self, most_bytes: usize) -> OpenRecord {
@@ -177,7 +186,7 @@
 /// How the tasks of a job are cut into records of what has completed. The number of a record tells
 /// its cut as well as its place in it, so that a record never holds less than one of the same name
 /// did before: whoever cuts otherwise, by other limits, has other names. Tasks are named absolutely,
-/// so any reader understands any cut. Versions to 0.1.0 counted from 0 whatever the cut was; what
+/// so any reader understands any cut. Earlier versions counted from 0 whatever the cut was; what
 /// they have written is read, and never written anew.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Cut {
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -100,13 +100,10 @@
     /// Stops a task so that it can save. The tasks of a gang save together or not at all: those
     /// that are not told within `gang_peer_s` of the first fail, and the save with them.
     fn stop_orderly(&mut self, name: &Name, key: &PlaceKey, grace_s: f64, now: Time) {
-        let gang = self.jobs.get(&key.0).filter(|j| j.spec.kind == Kind::Gang);
-        let Some(job) = gang else {
-            return self.stop(name, key, grace_s, now);
-        };
-        let all: Vec<(u32, Name, u64)> = Core::live_places(job).collect();
-        for (task, machine, attempt) in all {
-            self.stop(&machine, &(key.0.clone(), task, attempt), grace_s, now);
+        let job = self.jobs.get(&key.0);
+        match job.is_some_and(|j| j.spec.kind == Kind::Gang) {
+            true => self.stop_all(&key.0, grace_s, now),
+            false => self.stop(name, key, grace_s, now),
         }
     }
 
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -62,12 +62,8 @@
         }
         job.cancelled = true;
         let (id, spec) = (job.id.clone(), job.spec.clone());
-        let at: Vec<(u32, Name, u64)> = Self::live_places(job).collect();
-        info!("{id}: cancelled, {} places to clear", at.len());
-        for (task, machine, attempt) in at {
-            let key = (id.clone(), task, attempt);
-            self.stop(&machine, &key, 0.0, now);
-        }
+        info!("{id}: cancelled, {} places to clear", job.live);
+        self.stop_all(&id, 0.0, now);
         self.leave(&id);
         self.resolve(&id, JobState::Cancelled, now);
         self.mark_over(&id);
@@ -78,11 +74,19 @@
         });
     }
 
-    pub(super) fn live_places(job: &Job) -> impl Iterator<Item = (u32, Name, u64)> + '_ {
-        job.tasks.iter().enumerate().flat_map(|(i, task)| {
+    /// Stops whatever is or may be of a job on any machine.
+    pub(super) fn stop_all(&mut self, id: &Name, grace_s: f64, now: Time) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let places = job.tasks.iter().enumerate().flat_map(|(i, task)| {
             let at = task.at.iter();
-            at.map(move |a| (i as u32, a.machine.clone(), a.attempt))
-        })
+            at.map(move |a| (a.machine.clone(), (id.clone(), i as u32, a.attempt)))
+        });
+        let places: Vec<(Name, PlaceKey)> = places.collect();
+        for (machine, key) in places {
+            self.stop(&machine, &key, grace_s, now);
+        }
     }
 
     /// What a user is told; `None` for a job that is not open here, or that may have to end with one
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -137,11 +137,8 @@
             }
             job.doomed = true;
             info!("{id}: a job that it needs is cancelled");
-            // There are none, unless something went wrong before.
-            let left: Vec<(u32, Name, u64)> = Self::live_places(job).collect();
-            for (task, machine, attempt) in left {
-                self.stop(&machine, &(id.clone(), task, attempt), 0.0, now);
-            }
+            // It has no places, unless something went wrong before.
+            self.stop_all(&id, 0.0, now);
             self.leave(&id);
             self.mark_over(&id);
             doomed.extend(self.pipelines.needed_by.remove(&id).unwrap_or_default());
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -231,10 +231,7 @@
         };
         if job.spec.kind == Kind::Gang && !job.cancelled {
             // The rest of a gang is of no use without this task.
-            let rest: Vec<_> = Self::live_places(job).collect();
-            for (t, machine, attempt) in rest {
-                self.stop(&machine, &(id.clone(), t, attempt), 0.0, now);
-            }
+            self.stop_all(id, 0.0, now);
         }
     }
 
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -132,12 +132,10 @@
         let slabs = &self.slabs;
         self.urgent.retain(|i| slabs[*i].has_planned());
         // Not in any fixed order: what comes last in it would wait for ever while the budget is short.
-        let urgency = |i: &usize| self.slabs[*i].urgency(now);
         let urgent = self.urgent.iter().copied().filter(idle);
-        let urgent = urgent.max_by(|a, b| {
-            let ((p, s), (q, t)) = (urgency(a), urgency(b));
-            p.cmp(&q).then(s.total_cmp(&t))
-        });
+        let urgent = urgent.map(|i| (self.slabs[i].urgency(now), i));
+        let urgent = urgent.max_by(|((p, s), _), ((q, t), _)| p.cmp(q).then(s.total_cmp(t)));
+        let urgent = urgent.map(|(_, i)| i);
         let late = || self.slabs.iter().position(stale).filter(|_| !scarce);
         let Some(i) = urgent.or_else(late) else {
             return false;
@@ -288,8 +286,7 @@
         let Some(what) = self.in_flight.remove(&id) else {
             return;
         };
-        let too_large = matches!(result, Written::TooLarge);
-        if too_large {
+        if matches!(result, Written::TooLarge) {
             self.write_smaller(&what, now);
         }
         let applied = match &result {
@@ -363,8 +360,7 @@
         };
         self.slabs[slab].version = revision;
         self.taken_over(slab);
-        for (key, machine) in planned {
-            let entry = (key, machine);
+        for entry in planned {
             self.slabs[slab].recorded(&entry);
             let (key, machine) = entry;
             let cancelled = self.jobs.get(&key.0).is_none_or(|j| j.cancelled);
@@ -388,14 +384,16 @@
             return;
         };
         job.ended = true;
-        if job.doomed && !job.cancelled {
-            job.cancelled = true;
+        let told = job.cancelled;
+        job.cancelled |= job.doomed;
+        let state = match job.cancelled {
+            true => JobState::Cancelled,
+            false => JobState::Done,
+        };
+        if job.doomed && !told {
             self.fleet.left(&job.spec, now);
-            self.effects.push(Effect::Ended {
-                id: id.clone(),
-                state: JobState::Cancelled,
-            });
-        } else if !job.cancelled {
+        }
+        if !job.cancelled {
             let due = job.spec.deadline_s.map_or(String::new(), |s| {
                 let since = now - job.arrived;
                 format!(", {since:.0} s after its submission, due after {s:.0}")
@@ -403,15 +401,11 @@
             let started = job.first_run.map_or(0.0, |t| t - job.ready);
             let took = now - job.ready;
             info!("{id}: done, started after {started:.0} s, took {took:.0}{due}");
-            self.effects.push(Effect::Ended {
-                id: id.clone(),
-                state: JobState::Done,
-            });
         }
-        let state = match job.cancelled {
-            true => JobState::Cancelled,
-            false => JobState::Done,
-        };
+        if !told {
+            let id = id.clone();
+            self.effects.push(Effect::Ended { id, state });
+        }
         for first in [false, true] {
             self.over.remove(&(first, id.clone()));
         }
@@ -422,10 +416,7 @@
         for number in &job.other_cuts {
             self.stale_keys.insert(run_key(id, *number));
         }
-        let left: Vec<(u32, Name, u64)> = Self::live_places(job).collect();
-        for (task, machine, attempt) in left {
-            self.stop(&machine, &(id.clone(), task, attempt), 0.0, now);
-        }
+        self.stop_all(id, 0.0, now);
         self.resolve(id, state, now);
         self.drop_ended(id);
     }
@@ -451,8 +442,8 @@
             } else if let Some(slab) = parse_place_key(&key).and_then(|i| self.slabs.get_mut(i)) {
                 slab.version = version;
             } else if let Some((id, number)) = parse_run_key(&key) {
-                let i = self.cut.position(number).unwrap_or(usize::MAX);
-                let chunk = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(i));
+                let position = self.cut.position(number);
+                let chunk = position.and_then(|i| self.jobs.get_mut(id)?.chunks.get_mut(i));
                 if let Some(chunk) = chunk {
                     chunk.version = version;
                 }
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -333,23 +333,17 @@
         }
     }
 
-    /// Ends that this node knows are answered at once; the others are read.
+    /// Ends that this node knows are told at once; the others are read.
     fn find_ends(&mut self, ids: Vec<Name>) {
-        let (mut known, mut unknown) = (Vec::new(), Vec::new());
+        let now = self.now();
+        let mut unknown = Vec::new();
         for id in ids {
-            match self.ends.get(&id) {
-                Some(state) => known.push((id, Some(EndRecord { state, at_ms: None }))),
-                None => unknown.push(id),
-            }
-        }
-        if unknown.is_empty() {
-            let now = self.now();
-            if let Some(core) = self.core() {
-                core.found(known, now);
+            match (self.ends.get(&id), &mut self.role) {
+                (Some(state), Role::Leading(core)) => core.ended(&id, state, now),
+                _ => unknown.push(id),
             }
-            return;
         }
-        self.links.pool.find(known, unknown);
+        self.links.pool.find(unknown);
     }
 
     fn core(&mut self) -> Option<&mut Core> {
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -271,17 +271,19 @@
             match self.store.read::<OpenRecord>(&open_key(&id))? {
                 Some((needed, _)) if needed.cancelled => return Ok(true),
                 Some((needed, _)) => left.extend(needed.spec.waits_on),
-                None => {
-                    let end = self.store.read::<EndRecord>(&end_key(&id))?;
-                    if end.is_some_and(|(end, _)| end.state == JobState::Cancelled) {
-                        return Ok(true);
-                    }
-                }
+                None if self.ended_cancelled(&id)? => return Ok(true),
+                None => {}
             }
         }
         Err(Unavailable)
     }
 
+    /// Whether the end of a job is on record as cancelled.
+    fn ended_cancelled(&self, id: &str) -> Result<bool, Unavailable> {
+        let end = self.store.read::<EndRecord>(&end_key(id))?;
+        Ok(end.is_some_and(|(end, _)| end.state == JobState::Cancelled))
+    }
+
     fn query(&self, id: &str) -> Result<Reply, Unavailable> {
         Ok(match self.recorded(id)? {
             Some(status) => Reply::json(200, &status),
@@ -290,11 +292,7 @@
     }
 
     fn submit(&self, spec: &JobSpec) -> Result<Reply, Unavailable> {
-        let record = OpenRecord {
-            spec: spec.clone(),
-            at_ms: wall_ms(),
-            cancelled: false,
-        };
+        let record = OpenRecord::accepted(spec.clone(), wall_ms());
         if let Some(refusal) = self.refusal(&record) {
             return self.unless_known(&spec.id, refusal);
         }
@@ -303,14 +301,8 @@
             Needed::Never(why) => return self.unless_known(&spec.id, Reply::error(422, why)),
             Needed::Cancelled => return self.accept_cancelled(&spec.id),
         }
-        let txn = Transaction::default()
-            .absent(open_key(&spec.id))
-            .absent(end_key(&spec.id))
-            .put(
-                open_key(&spec.id),
-                serde_json::to_value(&record).expect("plain data"),
-            );
-        let version = match self.accept(&spec.id, &txn)? {
+        let value = serde_json::to_value(&record).expect("plain data");
+        let version = match self.accept(&spec.id, open_key(&spec.id), value)? {
             Ok(version) => version,
             Err(reply) => return Ok(reply),
         };
@@ -330,8 +322,11 @@
             return Some(Reply::error(422, why));
         }
         let (bytes, most) = (record.bytes(), self.settings.cluster.state.record_bytes());
-        let why = format!("the description takes {bytes} bytes in the records, of at most {most}");
-        (bytes > most).then(|| Reply::error(400, why))
+        (bytes > most).then(|| {
+            let why =
+                format!("the description takes {bytes} bytes in the records, of at most {most}");
+            Reply::error(400, why)
+        })
     }
 
     /// What was accepted once stays accepted, by whatever version.
@@ -342,17 +337,25 @@
         })
     }
 
-    /// Writes the acceptance of a job: its version, or what is answered where the job is known.
-    fn accept(&self, id: &str, txn: &Transaction) -> Result<Result<u64, Reply>, Unavailable> {
+    /// Accepts a job by writing its first record: the version, or what is answered where the job is
+    /// known.
+    fn accept(
+        &self,
+        id: &str,
+        key: String,
+        value: serde_json::Value,
+    ) -> Result<Result<u64, Reply>, Unavailable> {
+        let txn = Transaction::default()
+            .absent(open_key(id))
+            .absent(end_key(id))
+            .put(key, value);
         for _ in 0..TRIES {
-            match self.store.commit(txn) {
+            match self.store.commit(&txn) {
                 Outcome::Applied(version) => return Ok(Ok(version)),
                 // Accepted before, perhaps by a try of ours whose answer was lost.
                 Outcome::Conflict(_) => {
-                    return Ok(Err(match self.recorded(id)? {
-                        Some(status) => Reply::json(200, &status),
-                        None => Reply::later("the job is just being accepted"),
-                    }));
+                    let otherwise = Reply::later("the job is just being accepted");
+                    return Ok(Err(self.unless_known(id, otherwise)?));
                 }
                 Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => return Err(Unavailable),
                 Outcome::Unknown => {}
@@ -382,8 +385,7 @@
             };
             for id in ids {
                 if there.contains(&end_key(id)) {
-                    let end = self.store.read::<EndRecord>(&end_key(id))?;
-                    cancelled |= end.is_some_and(|(end, _)| end.state == JobState::Cancelled);
+                    cancelled |= self.ended_cancelled(id)?;
                 } else if !there.contains(&open_key(id)) && self.recorded(id)?.is_none() {
                     return Ok(Needed::Never(format!("waits_on: {id} was never accepted")));
                 }
@@ -397,11 +399,7 @@
 
     /// Accepts a job that needs a cancelled one: its end is all that there is to record of it.
     fn accept_cancelled(&self, id: &str) -> Result<Reply, Unavailable> {
-        let txn = Transaction::default()
-            .absent(open_key(id))
-            .absent(end_key(id))
-            .put(end_key(id), cancelled_end());
-        Ok(match self.accept(id, &txn)? {
+        Ok(match self.accept(id, end_key(id), cancelled_end())? {
             Ok(_) => self.cancelled(id, 201),
             Err(reply) => reply,
         })
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -32,12 +32,10 @@
     writes: Sender<(u64, Transaction)>,
     orders: Courier,
     cloud: Sender<CloudCall>,
-    finds: Sender<Find>,
+    /// Jobs of which the ends are to be read.
+    finds: Sender<Vec<Name>>,
 }
 
-/// Ends of jobs that are known, and jobs of which the end is to be read.
-type Find = (Vec<(Name, Option<EndRecord>)>, Vec<Name>);
-
 const WRITERS: usize = 3;
 const CLOUD_CALLERS: usize = 3;
 const QUEUE: usize = 256;
@@ -107,11 +105,10 @@
         self.orders.post(endpoint, "/orders", body, Box::new(taker));
     }
 
-    /// Looks up how jobs ended; `known` comes with the answer.
-    pub fn find(&self, known: Vec<(Name, Option<EndRecord>)>, unknown: Vec<Name>) {
-        if let Err(TrySendError::Full((mut found, unknown))) = self.finds.try_send((known, unknown))
-        {
-            found.extend(unknown.into_iter().map(|id| (id, None)));
+    /// Looks up how jobs ended.
+    pub fn find(&self, ids: Vec<Name>) {
+        if let Err(TrySendError::Full(ids)) = self.finds.try_send(ids) {
+            let found = ids.into_iter().map(|id| (id, None)).collect();
             let _ = self.inbox.try_send(Message::Found(found));
         }
     }
@@ -130,9 +127,10 @@
     }
 }
 
-fn find_all(store: &Store, jobs: &Receiver<Find>, inbox: &Sender<Message>, pause: Duration) {
-    for (mut found, unknown) in jobs {
-        for id in unknown {
+fn find_all(store: &Store, jobs: &Receiver<Vec<Name>>, inbox: &Sender<Message>, pause: Duration) {
+    for ids in jobs {
+        let mut found = Vec::new();
+        for id in ids {
             let end = store.read::<EndRecord>(&end_key(&id));
             found.push((id, end.ok().flatten().map(|(end, _)| end)));
             std::thread::sleep(pause);
@@ -254,12 +252,12 @@
                 old.len()
             );
             // Types that no record can hold are known only while the cloud tells them.
-            if value.to_string().len() > most_bytes {
+            let fits = value.to_string().len() <= most_bytes;
+            if !fits {
                 warn!("{} machine types are too many to record", types.len());
-                recorded = Some(types.clone());
-            } else if let Outcome::Applied(_) =
-                store.commit(&Transaction::default().put(TYPES, value))
-            {
+            }
+            let txn = Transaction::default().put(TYPES, value);
+            if !fits || matches!(store.commit(&txn), Outcome::Applied(_)) {
                 recorded = Some(types.clone());
             }
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -63,7 +63,7 @@
     pub value_kb: f64,
     pub txn_ops: usize,
     #[serde(default)]
-    pub next: Option<NextState>,
+    pub next: NextState,
 }
 
 /// Limits that the state service will have from some moment on, which it does not tell.
@@ -84,14 +84,14 @@
     /// Bytes that a record may have. What is written now must still be accepted when it is written
     /// anew under the limits to come, so the smaller ones always hold.
     pub fn record_bytes(&self) -> usize {
-        let next = self.next.as_ref().and_then(|n| n.value_kb);
+        let next = self.next.value_kb;
         let kb = next.map_or(self.value_kb, |kb| kb.min(self.value_kb));
         (kb * 1024.0 * VALUE_SHARE) as usize
     }
 
     /// Changes in one transaction, now and later.
     pub fn changes(&self) -> usize {
-        let next = self.next.as_ref().and_then(|n| n.txn_ops);
+        let next = self.next.txn_ops;
         next.map_or(self.txn_ops, |ops| ops.min(self.txn_ops))
     }
 
@@ -102,7 +102,7 @@
 
     /// Changes a second once the limits to come hold.
     pub fn later_write_rps(&self) -> f64 {
-        let next = self.next.as_ref().and_then(|n| n.write_rps);
+        let next = self.next.write_rps;
         next.map_or(self.write_rps, |rate| rate.min(self.write_rps))
     }
 }
@@ -218,7 +218,7 @@
             ("settings.cloud.rps", c.cloud.rps),
             ("settings.limits.ram_mb", c.limits.ram_mb),
         ];
-        let next = c.state.next.clone().unwrap_or_default();
+        let next = &c.state.next;
         let later = [
             ("settings.state.next.write_rps", next.write_rps),
             ("settings.state.next.value_kb", next.value_kb),
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -250,11 +250,7 @@
     let grid = Grid::new("orphans");
     let spec = |id: &str, waits_on: &[&str]| {
         let spec = JobSpec::parse(waiting(id, waits_on).to_string().as_bytes()).unwrap();
-        let record = OpenRecord {
-            spec,
-            at_ms: 0,
-            cancelled: false,
-        };
+        let record = OpenRecord::accepted(spec, 0);
         serde_json::to_value(&record).unwrap()
     };
     {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -86,16 +86,7 @@
     }
     body["due_s"] = json!(due_s);
     let spec = parsed(&body);
-    core.job_opened(
-        OpenRecord {
-            spec,
-            at_ms: 0,
-            cancelled: false,
-        },
-        seq,
-        0,
-        0.0,
-    );
+    core.job_opened(OpenRecord::accepted(spec, 0), seq, 0, 0.0);
 }
 
 pub fn report(core: &mut Core, seq: u64, tasks: Vec<TaskReport>, now: f64) -> Vec<Command> {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -709,7 +709,7 @@
                 }
             }
             Step::Limits => {
-                let next = self.settings.cluster.state.next.as_ref().unwrap();
+                let next = &self.settings.cluster.state.next;
                 // Descriptions and the ends of jobs are written by other nodes, which check them.
                 self.store.value_bytes = (next.value_kb.unwrap() * 1024.0) as usize;
                 self.store.txn_ops = next.txn_ops.unwrap();
@@ -768,11 +768,7 @@
         let mut body = common::submission(&id, rig, precedence, tasks);
         body["waits_on"] = json!(names);
         let spec = common::parsed(&body);
-        let record = OpenRecord {
-            spec,
-            at_ms: 0,
-            cancelled: false,
-        };
+        let record = OpenRecord::accepted(spec, 0);
         let txn = Transaction::default()
             .absent(open_key(&id))
             .absent(end_key(&id))
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -53,11 +53,7 @@
         let mut body = submission(id, "sweep", "normal", 2);
         body["waits_on"] = json!(waits_on);
         change(&mut body);
-        let record = OpenRecord {
-            spec: parsed(&body),
-            at_ms: (1000.0 * now) as u64,
-            cancelled: false,
-        };
+        let record = OpenRecord::accepted(parsed(&body), (1000.0 * now) as u64);
         let value = serde_json::to_value(&record).unwrap();
         let txn = Transaction::default().put(open_key(id), value);
         let version = self.store.commit(&txn).unwrap();
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -70,11 +70,7 @@
         body["cpus"] = json!(load.cpus);
         body["passage_s"] = json!(load.run_s * load.estimate);
         body["due_s"] = json!(load.due_s);
-        let record = OpenRecord {
-            spec: parsed(&body),
-            at_ms: 0,
-            cancelled: false,
-        };
+        let record = OpenRecord::accepted(parsed(&body), 0);
         self.core
             .job_open(record, number as u64 + 1, self.now, self.now);
         self.run_s.insert(id.clone(), load.run_s);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -174,12 +174,7 @@
     // Large enough that their ends cost next to nothing.
     for n in 1..=4 {
         let spec = parsed(&submission(&format!("req-{n}"), "sweep", "normal", 2000));
-        let (at_ms, cancelled) = (0, false);
-        let record = OpenRecord {
-            spec,
-            at_ms,
-            cancelled,
-        };
+        let record = OpenRecord::accepted(spec, 0);
         core.job_opened(record, n, 0, 0.0);
     }
     let mut seqs = vec![0; machines];
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -207,11 +207,7 @@
     core.cancel("req-1", 0.0);
     core.cancel("req-1", 0.5);
     let spec = common::parsed(&common::submission("req-1", "sweep", "normal", 4));
-    let record = OpenRecord {
-        spec,
-        at_ms: 0,
-        cancelled: false,
-    };
+    let record = OpenRecord::accepted(spec, 0);
     core.job_opened(record, 1, 0, 1.0);
     assert!(core.status("req-1").is_none_or(|s| s.done == 0));
     answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 1.0);
@@ -347,12 +343,7 @@
     let mut core = core();
     let two_tasks = |core: &mut Core, id: &str, seq: u64| {
         let spec = parsed(&submission(id, "sweep", "normal", 2));
-        let (at_ms, cancelled) = (0, false);
-        let record = OpenRecord {
-            spec,
-            at_ms,
-            cancelled,
-        };
+        let record = OpenRecord::accepted(spec, 0);
         core.job_opened(record, seq, 0, 0.0);
     };
     answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -18,6 +18,14 @@
 
 const TASKS: u32 = 90;
 
+/// A state service that takes values of any size.
+fn unbounded() -> Store {
+    Store {
+        value_bytes: usize::MAX,
+        ..Store::default()
+    }
+}
+
 /// A leader whose records may be so large.
 fn leader(store: &mut Store, value_kb: f64, now: f64) -> Core {
     let text = SETTINGS.replace("value_kb = 16.0", &format!("value_kb = {value_kb}"));
@@ -51,13 +59,17 @@
     });
 }
 
+/// So many machines report for the first time, with nothing on them.
+fn hear(core: &mut Core, machines: usize, now: f64) {
+    for i in 0..machines {
+        let report = worker_report(&format!("m-{i}"), 1, core.token, vec![]);
+        core.report(&report, now);
+    }
+}
+
 fn accept(store: &mut Store, id: &str, tasks: u32) {
     let spec = parsed(&submission(id, "sweep", "normal", tasks));
-    let record = OpenRecord {
-        spec,
-        at_ms: 0,
-        cancelled: false,
-    };
+    let record = OpenRecord::accepted(spec, 0);
     let value = serde_json::to_value(&record).unwrap();
     let txn = Transaction::default().put(open_key(id), value);
     store.commit(&txn).unwrap();
@@ -98,7 +110,7 @@
 
     #[test]
     fn what_is_recorded_as_complete_stays_so_in_any_cut(terms in terms(), production in 0usize..7) {
-        let mut store = Store { value_bytes: usize::MAX, ..Store::default() };
+        let mut store = unbounded();
         accept(&mut store, "req-1", TASKS);
         let recorded = |store: &Store| -> BTreeSet<u32> {
             let mut done = BTreeSet::new();
@@ -139,17 +151,14 @@
 
     #[test]
     fn a_place_is_on_record_while_any_leader_cuts_the_records_anew(terms in terms(), production in 0usize..7) {
-        let mut store = Store { value_bytes: usize::MAX, ..Store::default() };
+        let mut store = unbounded();
         for id in ["req-1", "req-2", "req-3"] {
             accept(&mut store, id, 12);
         }
         // A leader with large records places everything.
         let mut now = 0.0;
         let mut core = leader(&mut store, 16.0, now);
-        for i in 0..9 {
-            let token = core.token;
- core.report(&worker_report(&format!("m-{i}"), 1, token, vec![]), now);
-        }
+        hear(&mut core, 9, now);
         work(&mut core, &mut store, now, usize::MAX);
         let placed = places(&store);
         prop_assert_eq!(placed.len(), 36);
@@ -170,16 +179,10 @@
 
 #[test]
 fn a_leader_with_small_records_comes_to_write_them_all() {
-    let mut store = Store {
-        value_bytes: usize::MAX,
-        ..Store::default()
-    };
+    let mut store = unbounded();
     accept(&mut store, "req-1", 36);
     let mut core = leader(&mut store, 16.0, 0.0);
-    for i in 0..9 {
-        let token = core.token;
-        core.report(&worker_report(&format!("m-{i}"), 1, token, vec![]), 0.0);
-    }
+    hear(&mut core, 9, 0.0);
     work(&mut core, &mut store, 0.0, usize::MAX);
     let mut core = leader(&mut store, 0.25, 0.0);
     for second in 0..60 {
@@ -192,17 +195,11 @@
 
 #[test]
 fn a_write_that_is_larger_than_the_service_takes_is_cut_smaller() {
-    let mut store = Store {
-        value_bytes: usize::MAX,
-        ..Store::default()
-    };
+    let mut store = unbounded();
     accept(&mut store, "req-1", 36);
     accept(&mut store, "req-2", 1);
     let mut core = leader(&mut store, 16.0, 0.0);
-    for i in 0..10 {
-        let token = core.token;
-        core.report(&worker_report(&format!("m-{i}"), 1, token, vec![]), 0.0);
-    }
+    hear(&mut core, 10, 0.0);
     // It takes far less than the settings say, of now and of later.
     (store.value_bytes, store.txn_ops) = (300, 2);
     let mut launched = BTreeSet::new();
@@ -303,11 +300,7 @@
     body["kit"] = json!(text(150));
     body["berth"] = json!(text(150));
     body["hulls"] = json!(vec![text(150); 60]);
-    let record = OpenRecord {
-        spec: parsed(&body),
-        at_ms: u64::MAX,
-        cancelled: false,
-    };
+    let record = OpenRecord::accepted(parsed(&body), u64::MAX);
     assert!(record.bytes() > 16 * 1024);
     let bound = 2048 * 85 / 100;
     let cancelled = record.taken_back(bound);
