Workers' leases are renewed only while every confirmed cancellation is known

Cancellations confirmed by others in between were unknown here, and their tasks ran on.

Change: coordination::cancellations knows up to which moment all confirmed cancellations are known, by the records read or by what every other controller says of those it has confirmed (a log of its process, a new call between controllers, asked four times a report interval). Leases are renewed until that moment plus cancel_s - lease_s less drift. A leader in doubt sends stops directly. The reader of records, questions to peers and the controller's messages stand in modules of their own.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 //! decide. [`redirects`] is a follower's.
 
 pub mod backfill;
+pub mod cancellations;
 pub mod core;
 pub mod deadlines;
 pub mod election;
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -81,9 +81,10 @@
         commands
     }
 
-    /// Sends straight to workers what should not wait for their next report.
+    /// Sends straight to workers what should not wait for their next report. A leader whose lease
+    /// is in doubt still stops tasks by this, but starts none.
     pub(super) fn send_orders(&mut self, now: Time) {
-        if !self.leads(now) {
+        if self.deposed {
             return;
         }
         let names = std::mem::take(&mut self.to_order);
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -2,19 +2,23 @@
 
 use super::busy;
 use super::gateway::Task;
+use super::messages::{Located, Message, PeerReachability};
+use super::peer_queries::{self, CancellationQueries, PromiseCollector};
+use super::record_reader::RecordReader;
 use super::workers::{CloudCall, Pool};
+use crate::bookkeeping::cancellations::{CancellationLog, Cursor};
 use crate::bookkeeping::index::EndIndex;
-use crate::bookkeeping::records::{EndRecord, OpenRecord, OPEN, PLACE, RUN};
-use crate::bookkeeping::store::{Store, Unavailable};
-use crate::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use crate::bookkeeping::store::Store;
+use crate::coordination::cancellations::{CancellationEvidence, PeerAnswer};
+use crate::coordination::core::{Core, Effect, Heard};
 use crate::coordination::election::{News, Wish};
 use crate::coordination::recovery::Records;
 use crate::coordination::redirects::Redirects;
 use crate::coordination::state::Name;
 use crate::coordination::Time;
-use crate::protocol::cloud::{ListedMachine, MachineType, LIST_PAGE};
+use crate::protocol::cloud::{MachineType, LIST_PAGE};
 use crate::protocol::job::{JobState, JobStatus};
-use crate::protocol::worker::{Elsewhere, Report, ReportAnswer};
+use crate::protocol::worker::{Elsewhere, Report};
 use crate::settings::Settings;
 use crate::transport::peers::Peers;
 use crate::transport::{Reply, Respond};
@@ -24,57 +28,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{debug, info, warn};
 
-pub enum Message {
-    News(News),
-    Report {
-        report: Box<Report>,
-        body: Vec<u8>,
-        passed_on: bool,
-        respond: Respond,
-    },
-    /// What is known of a job here, and who leads.
-    Locate(String, Sender<Located>),
-    /// A job was accepted or cancelled, as its record says.
-    Opened(Box<OpenRecord>, u64),
-    Ended(String, JobState),
-    /// How jobs ended that were looked up, if they did.
-    Found(Vec<(Name, Option<EndRecord>)>),
-    Loaded(u64, Records),
-    Written(u64, Written),
-    Ordered(Name, Ordered),
-    Rented(String, Option<Vec<String>>),
-    Returned(Vec<String>, bool),
-    Listed(Vec<ListedMachine>),
-    Types(Vec<MachineType>),
-    /// What the other controllers said to a leader that hears no worker.
-    Probed(Ears),
-    /// A leader that hears no worker asks whether any reports here.
-    Hears(Respond),
-    /// A new leader asks that no report be answered here with a lower token than its own.
-    Promise(u64, Respond),
-    /// All others have given that promise to this term's leader.
-    Promised(u64),
-}
-
-/// Whether other controllers are reached, and whether workers report to them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ears {
-    /// No other controller answers.
-    Alone,
-    /// Some do, but no worker reports to them.
-    Deaf,
-    Open,
-}
-
-/// What the controller tells the gateway.
-pub struct Located {
-    /// The job's state, if this node can be sure of it.
-    pub status: Option<JobStatus>,
-    /// Whether this node leads, and its picture is current.
-    pub leads: bool,
-    pub leader: Option<String>,
-}
-
 /// Hands a worker's report to the controller, or answers at once when it has no room.
 pub fn offer_report(inbox: &Sender<Message>, body: Vec<u8>, passed_on: bool, respond: Respond) {
     let report: Report = match serde_json::from_slice(&body) {
@@ -115,6 +68,9 @@
     pub stage: Sender<Task>,
     pub wishes: Sender<Wish>,
     pub pool: Pool,
+    /// The cancellations that this process has confirmed, and the way to those of the others.
+    pub cancellations: CancellationLog,
+    pub cancellation_queries: CancellationQueries,
 }
 
 pub struct Controller {
@@ -137,10 +93,12 @@
     crowded: bool,
     /// The highest token that was promised to: lower ones never answer reports here.
     promised: u64,
+    /// What is known of cancellations that this process and the others have confirmed.
+    evidence: CancellationEvidence,
+    own_cancellations: Cursor,
+    peers_asked: Time,
 }
 
-/// Report intervals after which the leader reads all open jobs anew.
-const REREAD: u32 = 8;
 /// The share of the cloud's calls that lists of machines may take.
 const LIST_SHARE: f64 = 0.1;
 /// Messages taken in before the core decides again.
@@ -153,16 +111,14 @@
 /// Bytes that a remembered end takes, and the share of memory for them.
 const END_BYTES: f64 = 200.0;
 const END_SHARE: f64 = 0.1;
-/// The share of the time between a lapsed lease and the end of a cancellation in which a leader
-/// that is cut off goes on answering reports, so that the workers' tasks live on.
-const DOUBT_SHARE: f64 = 0.85;
+/// Questions to each other controller about cancellations in a report interval.
+const CANCELLATION_QUERIES: f64 = 4.0;
 
 impl Controller {
     pub fn new(settings: Arc<Settings>, epoch: Instant, links: Links) -> Controller {
         let bytes = settings.cluster.limits.ram_mb * 1e6 * END_SHARE;
         Controller {
             epoch,
-            links,
             role: Role::Follower,
             term: Arc::default(),
             leader: None,
@@ -175,6 +131,10 @@
             probing: false,
             crowded: false,
             promised: 0,
+            evidence: CancellationEvidence::new(links.peers.names()),
+            own_cancellations: links.cancellations.page(Cursor::default()).cursor,
+            peers_asked: 0.0,
+            links,
             settings,
         }
     }
@@ -217,6 +177,8 @@
             let report_s = self.settings.cluster.workers.report_s;
             self.redirects.forget_old(now, report_s);
         }
+        self.take_own_cancellations();
+        self.ask_peers_for_cancellations(now);
         let Role::Leading(core) = &mut self.role else {
             return;
         };
@@ -244,7 +206,7 @@
         let deaf = core.machine_count() > 0 && now - self.heard.max(core.leads_since) > deaf_s;
         if tick && deaf && !self.probing {
             self.probing = true;
-            self.probe();
+            self.probe_peers();
         }
         for effect in effects {
             self.carry_out(effect);
@@ -256,23 +218,10 @@
     }
 
     /// Finds out whether any other controller can be reached, and hears workers.
-    fn probe(&self) {
+    fn probe_peers(&self) {
         let (peers, inbox) = (self.links.peers.clone(), self.links.inbox.clone());
         let within = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 2.0);
-        let body = move || {
-            let mut ears = Ears::Alone;
-            for name in peers.names() {
-                match peers.hears_workers(name, within) {
-                    Some(true) => {
-                        ears = Ears::Open;
-                        break;
-                    }
-                    Some(false) => ears = Ears::Deaf,
-                    None => {}
-                }
-            }
-            let _ = inbox.send(Message::Probed(ears));
-        };
+        let body = move || peer_queries::probe(&peers, &inbox, within);
         if let Err(error) = super::spawn("probe", body) {
             warn!("{error:#}");
         }
@@ -281,7 +230,7 @@
     /// No worker is heard here. Where another controller hears them, it had better lead: what comes
     /// through it comes late, and no command reaches a worker directly. If no peer answers either,
     /// another node may have the workers' ear all the same, and a node that is alone takes it back.
-    fn probed(&mut self, ears: Ears) {
+    fn peers_probed(&mut self, reachability: PeerReachability) {
         self.probing = false;
         let now = self.now();
         let Role::Leading(core) = &self.role else {
@@ -289,20 +238,20 @@
         };
         let silent_s = SILENT_REPORTS * self.settings.cluster.workers.report_s;
         let silent = now - self.heard.max(core.leads_since) > silent_s;
-        let hands_over = match ears {
-            Ears::Open => true,
-            Ears::Alone => silent && !self.links.peers.is_empty(),
-            Ears::Deaf => false,
+        let hands_over = match reachability {
+            PeerReachability::ReachableWithWorkers => true,
+            PeerReachability::Unreachable => silent && !self.links.peers.is_empty(),
+            PeerReachability::ReachableWithoutWorkers => false,
         };
         if hands_over {
-            warn!("no worker is heard here, others: {ears:?}; hands over");
+            warn!("no worker reports here, peers: {reachability:?}; hands leadership over");
             self.step_down();
             let _ = self.links.wishes.try_send(Wish::Resign);
         }
     }
 
     /// Tells a leader that hears no worker whether any has reported here of late.
-    fn hears(&self, respond: Respond) {
+    fn hears_workers(&self, respond: Respond) {
         let lately = self.settings.cluster.workers.report_s;
         let hears = self.heard > 0.0 && self.now() - self.heard < lately;
         respond(Reply::json(if hears { 200 } else { 404 }, &()));
@@ -375,18 +324,22 @@
                     core.job_opened(*record, version, wall, now);
                 }
             }
-            Message::Ended(id, state) => {
-                self.ends.insert(&id, state);
-                if let Some(core) = self.core() {
-                    core.ended(&id, state, now);
-                }
-            }
+            Message::Ended(id, state) => self.ended(&id, state),
             Message::Found(ends) => {
                 if let Some(core) = self.core() {
                     core.found(ends, now);
                 }
             }
-            Message::Loaded(token, records) => self.loaded(token, records),
+            Message::Loaded {
+                token,
+                records,
+                sent,
+            } => self.loaded(token, records, sent),
+            Message::RecordsRead { token, sent } => {
+                if self.core().is_some_and(|core| core.first_token() == token) {
+                    self.evidence.records_read(sent);
+                }
+            }
             Message::Written(id, result) => {
                 if let Some(core) = self.core() {
                     core.written(id, result, now);
@@ -418,8 +371,9 @@
                     core.promised(now);
                 }
             }
-            Message::Probed(ears) => self.probed(ears),
-            Message::Hears(respond) => self.hears(respond),
+            Message::PeersProbed(reachability) => self.peers_probed(reachability),
+            Message::HearsWorkers(respond) => self.hears_workers(respond),
+            Message::PeerCancellations(peer, answer) => self.peer_cancellations(&peer, answer),
             Message::Types(types) => {
                 if let Some(core) = self.core() {
                     core.set_types(types.clone());
@@ -448,6 +402,7 @@
                     token,
                     valid_until: self.now(),
                 };
+                self.evidence = CancellationEvidence::new(self.links.peers.names());
                 self.term.store(token, Ordering::Relaxed);
                 self.load(token);
             }
@@ -472,76 +427,15 @@
 
     /// Reads the records, then follows new jobs, for as long as this term lasts.
     fn load(&self, token: u64) {
-        let (store, inbox, term) = (
-            self.links.store.clone(),
-            self.links.inbox.clone(),
-            self.term.clone(),
-        );
-        let hold = Duration::from_secs_f64(self.settings.cluster.workers.report_s);
-        let body = move || {
-            let current = || term.load(Ordering::Relaxed) == token;
-            let read = || -> Result<(Records, u64), Unavailable> {
-                let (open, revision) = store.list(OPEN)?;
-                let records = Records {
-                    open,
-                    run: store.list(RUN)?.0,
-                    places: store.list(PLACE)?.0,
-                };
-                Ok((records, revision))
-            };
-            let mut after = loop {
-                if !current() {
-                    return;
-                }
-                match read() {
-                    Ok((records, revision)) => {
-                        let _ = inbox.send(Message::Loaded(token, records));
-                        break revision;
-                    }
-                    Err(Unavailable) => std::thread::sleep(Duration::from_millis(100)),
-                }
-            };
-            let opened = |key: &str, value, version| {
-                if let Ok(record) = serde_json::from_value::<OpenRecord>(value) {
-                    let _ = inbox.send(Message::Opened(Box::new(record), version));
-                } else {
-                    warn!("{key}: cannot be read");
-                }
-            };
-            let mut read_at = Instant::now();
-            while current() {
-                // An event may be lost on the way: from time to time all is read anew.
-                if read_at.elapsed() > hold * REREAD {
-                    if let Ok((items, revision)) = store.list(OPEN) {
-                        read_at = Instant::now();
-                        after = revision;
-                        for item in items {
-                            opened(&item.key, item.value, item.version);
-                        }
-                    }
-                }
-                match store.watch(OPEN, after, hold) {
-                    Ok(Some(events)) => {
-                        after = after.max(events.revision);
-                        for event in events.events {
-                            if let Some(key) = event.put {
-                                opened(&key, event.value, event.version);
-                            }
-                        }
-                    }
-                    Ok(None) => {
-                        if let Ok((items, revision)) = store.list(OPEN) {
-                            after = revision;
-                            for item in items {
-                                opened(&item.key, item.value, item.version);
-                            }
-                        }
-                    }
-                    Err(Unavailable) => std::thread::sleep(Duration::from_millis(100)),
-                }
-            }
+        let reader = RecordReader {
+            store: self.links.store.clone(),
+            inbox: self.links.inbox.clone(),
+            term: self.term.clone(),
+            token,
+            epoch: self.epoch,
+            report_interval: Duration::from_secs_f64(self.settings.cluster.workers.report_s),
         };
-        if let Err(error) = super::spawn("records", body) {
+        if let Err(error) = super::spawn("records", move || reader.run()) {
             warn!("{error:#}");
             let _ = self.links.wishes.try_send(Wish::Resign);
         }
@@ -564,32 +458,21 @@
         respond(Reply::json(status, &()));
     }
 
-    /// Asks all other controllers to answer no more reports with lower tokens. A node that does
-    /// not answer may still do so; one that has restarted does not.
+    /// Asks all other controllers to answer no more reports with lower tokens.
     fn ask_promises(&self, token: u64) {
-        let (peers, inbox, term) = (
-            self.links.peers.clone(),
-            self.links.inbox.clone(),
-            self.term.clone(),
-        );
-        let pause = Duration::from_secs_f64(self.settings.cluster.workers.report_s / 4.0);
-        let body = move || {
-            let mut left: Vec<&String> = peers.names().collect();
-            while term.load(Ordering::Relaxed) == token {
-                left.retain(|name| peers.promise(name, token, 2 * pause) != Some(true));
-                if left.is_empty() {
-                    let _ = inbox.send(Message::Promised(token));
-                    return;
-                }
-                std::thread::sleep(pause);
-            }
+        let promises = PromiseCollector {
+            peers: self.links.peers.clone(),
+            inbox: self.links.inbox.clone(),
+            term: self.term.clone(),
+            token,
+            pause: Duration::from_secs_f64(self.settings.cluster.workers.report_s / 4.0),
         };
-        if let Err(error) = super::spawn("promises", body) {
+        if let Err(error) = super::spawn("promises", move || promises.run()) {
             warn!("{error:#}");
         }
     }
 
-    fn loaded(&mut self, token: u64, records: Records) {
+    fn loaded(&mut self, token: u64, records: Records, sent: Time) {
         let now = self.now();
         match self.role {
             Role::Recovering {
@@ -601,6 +484,7 @@
                 core.set_types(self.types.clone());
                 core.recover(records, wall_ms(), now);
                 self.role = Role::Leading(Box::new(core));
+                self.evidence.records_read(sent);
                 self.links.pool.cloud(CloudCall::List);
                 self.listed = now;
                 self.ask_promises(token);
@@ -624,6 +508,13 @@
                 status = core.status(id);
             }
         }
+        // A user may be told so: see `bookkeeping::cancellations`.
+        if status
+            .as_ref()
+            .is_some_and(|s| s.state == JobState::Cancelled)
+        {
+            self.links.cancellations.record(id);
+        }
         Located {
             status,
             leads,
@@ -631,34 +522,85 @@
         }
     }
 
+    /// A job has ended, as a user was told or the state service says.
+    fn ended(&mut self, id: &str, state: JobState) {
+        let now = self.now();
+        self.ends.insert(id, state);
+        if let Some(core) = self.core() {
+            core.ended(id, state, now);
+        }
+    }
+
+    /// Takes in the cancellations that this process has confirmed meanwhile. While the records are
+    /// being read they are left for the picture to come.
+    fn take_own_cancellations(&mut self) {
+        if matches!(self.role, Role::Recovering { .. }) {
+            return;
+        }
+        loop {
+            let page = self.links.cancellations.page(self.own_cancellations);
+            if !page.continues {
+                warn!("cancellations came faster than they were taken in");
+                self.evidence = CancellationEvidence::new(self.links.peers.names());
+            }
+            for job in &page.jobs {
+                self.ended(job, JobState::Cancelled);
+            }
+            self.own_cancellations = page.cursor;
+            if page.complete {
+                return;
+            }
+        }
+    }
+
+    /// A leader asks the other controllers which cancellations they have confirmed.
+    fn ask_peers_for_cancellations(&mut self, now: Time) {
+        let pause_s = self.settings.cluster.workers.report_s / CANCELLATION_QUERIES;
+        if self.core().is_none() || now - self.peers_asked < pause_s {
+            return;
+        }
+        self.peers_asked = now;
+        for peer in self.links.peers.names() {
+            let queries = &self.links.cancellation_queries;
+            queries.ask(peer, self.evidence.cursor(peer));
+        }
+    }
+
+    fn peer_cancellations(&mut self, peer: &str, answer: Option<PeerAnswer>) {
+        let Some(answer) = answer else {
+            return;
+        };
+        for job in &answer.page.jobs {
+            self.ended(job, JobState::Cancelled);
+        }
+        self.evidence.peer_answered(&answer);
+        if self.core().is_some() && !answer.page.complete {
+            let queries = &self.links.cancellation_queries;
+            queries.ask(peer, self.evidence.cursor(peer));
+        }
+    }
+
+    /// Answers a worker's report. An answer renews the worker's lease, so that none is given while a
+    /// confirmed cancellation may be unknown here for too long: see [`CancellationEvidence`].
     fn report(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
+        self.take_own_cancellations();
         let now = self.now();
-        let workers = &self.settings.cluster.workers;
-        let doubt_s = (workers.cancel_s - workers.lease_s).max(0.0) * DOUBT_SHARE;
-        let reply = match &mut self.role {
-            Role::Leading(core) if now < core.valid_until + doubt_s => {
-                match core.report(&report, now) {
-                    Heard::Answer(answer) => {
-                        if !passed_on {
-                            self.heard = now;
-                        }
-                        Reply::json(200, &answer)
-                    }
-                    Heard::Stale => Reply::error(503, "an older report"),
-                    Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
+        let renews = self.evidence.may_renew(&self.settings.cluster.workers, now);
+        let Role::Leading(core) = &mut self.role else {
+            return self.redirect(report, body, passed_on, respond);
+        };
+        if !renews {
+            return self.redirect(report, body, passed_on, respond);
+        }
+        let reply = match core.report(&report, now) {
+            Heard::Answer(answer) => {
+                if !passed_on {
+                    self.heard = now;
                 }
+                Reply::json(200, &answer)
             }
-            Role::Recovering { token, .. } if report.token <= *token => {
-                let commands = Vec::new();
-                Reply::json(
-                    200,
-                    &ReportAnswer {
-                        token: *token,
-                        commands,
-                    },
-                )
-            }
-            _ => return self.redirect(report, body, passed_on, respond),
+            Heard::Stale => Reply::error(503, "an older report"),
+            Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
         };
         respond(reply);
     }
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -1,8 +1,10 @@
 //! Users' requests: answered from the leader's picture, or else from the state service itself.
 
 use super::busy;
-use super::controller::{wall_ms, Located, Message};
+use super::controller::wall_ms;
+use super::messages::{Located, Message};
 use super::polls::Polls;
+use crate::bookkeeping::cancellations::CancellationLog;
 use crate::bookkeeping::records::*;
 use crate::bookkeeping::store::{Outcome, Store, Unavailable};
 use crate::protocol::cloud::MachineType;
@@ -96,6 +98,8 @@
     pub tasks: Receiver<Task>,
     pub types: Arc<SharedTypes>,
     pub polls: Polls,
+    /// Where every cancellation is entered before its user is told.
+    pub cancellations: CancellationLog,
     /// Peers that lately gave no answer, and until when they are not asked.
     pub unreachable: RefCell<HashMap<String, Instant>>,
 }
@@ -197,7 +201,7 @@
             return;
         };
         if reply.status == 200 && status.state.is_end() {
-            ended_status(&self.controller, id, status.state);
+            self.ended_status(id, status.state);
         }
     }
 
@@ -245,17 +249,15 @@
     fn recorded(&self, id: &str) -> Result<Option<JobStatus>, Unavailable> {
         let open = self.store.read::<OpenRecord>(&open_key(id))?;
         match open {
-            Some((record, _)) if record.cancelled => Ok(Some(ended_status(
-                &self.controller,
-                id,
-                JobState::Cancelled,
-            ))),
+            Some((record, _)) if record.cancelled => {
+                Ok(Some(self.ended_status(id, JobState::Cancelled)))
+            }
             // Its own end may lag behind that of a job that it needs.
             Some((record, _)) if self.needs_cancelled(&record)? => Err(Unavailable),
             Some(_) => Ok(Some(without_counts(id, JobState::Pending))),
             None => {
                 let end = self.store.read::<EndRecord>(&end_key(id))?;
-                Ok(end.map(|(end, _)| ended_status(&self.controller, id, end.state)))
+                Ok(end.map(|(end, _)| self.ended_status(id, end.state)))
             }
         }
     }
@@ -436,8 +438,12 @@
         Err(Unavailable)
     }
 
+    fn ended_status(&self, id: &str, state: JobState) -> JobStatus {
+        ended_status(&self.controller, &self.cancellations, id, state)
+    }
+
     fn cancelled(&self, id: &str, status: u16) -> Reply {
-        ended_status(&self.controller, id, JobState::Cancelled);
+        self.ended_status(id, JobState::Cancelled);
         Reply::json(
             status,
             &serde_json::json!({"name_id": id, "status": "cancelled"}),
@@ -482,8 +488,17 @@
     Reply::later("the state service is not reached")
 }
 
-/// An end that the state service tells of, which the controller learns by this.
-pub(super) fn ended_status(controller: &Sender<Message>, id: &str, state: JobState) -> JobStatus {
+/// An end that the state service tells of, which the controller learns by this. Every answer with a
+/// cancellation that rests on the state service comes through here.
+pub(super) fn ended_status(
+    controller: &Sender<Message>,
+    cancellations: &CancellationLog,
+    id: &str,
+    state: JobState,
+) -> JobStatus {
+    if state == JobState::Cancelled {
+        cancellations.record(id);
+    }
     let _ = controller.try_send(Message::Ended(id.to_string(), state));
     without_counts(id, state)
 }
--- /dev/null
+++ b/src/service/messages.rs
@@ -0,0 +1,79 @@
+//! What the other actors tell the controller.
+
+use crate::bookkeeping::records::{EndRecord, OpenRecord};
+use crate::coordination::cancellations::PeerAnswer;
+use crate::coordination::core::{Ordered, Written};
+use crate::coordination::election::News;
+use crate::coordination::recovery::Records;
+use crate::coordination::state::Name;
+use crate::coordination::Time;
+use crate::protocol::cloud::{ListedMachine, MachineType};
+use crate::protocol::job::{JobState, JobStatus};
+use crate::protocol::worker::Report;
+use crate::transport::Respond;
+use crossbeam::channel::Sender;
+
+/// An event for the controller.
+pub enum Message {
+    News(News),
+    Report {
+        report: Box<Report>,
+        body: Vec<u8>,
+        passed_on: bool,
+        respond: Respond,
+    },
+    /// What is known of a job here, and who leads.
+    Locate(String, Sender<Located>),
+    /// A job was accepted or cancelled, as its record says.
+    Opened(Box<OpenRecord>, u64),
+    Ended(String, JobState),
+    /// How jobs ended that were looked up, if they did.
+    Found(Vec<(Name, Option<EndRecord>)>),
+    /// The records as read for a term, by a request that was sent then.
+    Loaded {
+        token: u64,
+        records: Records,
+        sent: Time,
+    },
+    /// All changes of open jobs that were on record at `sent` have been handed in.
+    RecordsRead {
+        token: u64,
+        sent: Time,
+    },
+    Written(u64, Written),
+    Ordered(Name, Ordered),
+    Rented(String, Option<Vec<String>>),
+    Returned(Vec<String>, bool),
+    Listed(Vec<ListedMachine>),
+    Types(Vec<MachineType>),
+    /// Whether other controllers are reached by a leader to which no worker reports.
+    PeersProbed(PeerReachability),
+    /// Another controller asks whether any worker reports here.
+    HearsWorkers(Respond),
+    /// A new leader asks that no report be answered here with a lower token than its own.
+    Promise(u64, Respond),
+    /// All others have given that promise to this term's leader.
+    Promised(u64),
+    /// A peer has told which cancellations it has confirmed; `None` is no answer.
+    PeerCancellations(String, Option<PeerAnswer>),
+}
+
+/// Whether other controllers are reached, and whether workers report to them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerReachability {
+    /// No other controller answers.
+    Unreachable,
+    /// Some do, but no worker reports to them.
+    ReachableWithoutWorkers,
+    /// Workers report to one that answers.
+    ReachableWithWorkers,
+}
+
+/// What the controller tells the gateway.
+pub struct Located {
+    /// The job's state, if this node can be sure of it.
+    pub status: Option<JobStatus>,
+    /// Whether this node leads, and its picture is current.
+    pub leads: bool,
+    pub leader: Option<String>,
+}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -7,9 +7,13 @@
 pub mod controller;
 pub mod gateway;
 mod isolation;
+pub mod messages;
+pub mod peer_queries;
 pub mod polls;
+pub mod record_reader;
 pub mod workers;
 
+use crate::bookkeeping::cancellations::CancellationLog;
 use crate::bookkeeping::store::Store;
 use crate::coordination::election::{self, Election};
 use crate::settings::Settings;
@@ -18,9 +22,11 @@
 use crate::transport::runtime::Runtime;
 use crate::transport::Reply;
 use anyhow::Context;
-use controller::{Controller, Links, Message};
+use controller::{Controller, Links};
 use crossbeam::channel::bounded;
 use gateway::{Gateway, SharedTypes, Task};
+use messages::Message;
+use peer_queries::CancellationQueries;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -62,7 +68,7 @@
             }
             PeerCall::Report(body) => controller::offer_report(&peer_inbox, body, true, respond),
             PeerCall::Hears => {
-                let _ = peer_inbox.try_send(Message::Hears(respond));
+                let _ = peer_inbox.try_send(Message::HearsWorkers(respond));
             }
             PeerCall::Promise(token) => {
                 let _ = peer_inbox.try_send(Message::Promise(token, respond));
@@ -74,12 +80,14 @@
         .iter()
         .map(|p| (p.name.clone(), p.address))
         .collect();
+    let cancellations = CancellationLog::new(cancellation_capacity(&settings));
     let runtime = Runtime::start().context("cannot start the runtime")?;
     let peers = Peers::start(
         &runtime,
         settings.cluster_listen,
         &names,
         Arc::new(peer_calls),
+        cancellations.clone(),
     )
     .context("cannot listen for peers")?;
 
@@ -103,7 +111,7 @@
     spawn("election", move || election.run())?;
 
     let types = Arc::<SharedTypes>::default();
-    let polls = polls::start(&settings, &store, &inbox)?;
+    let polls = polls::start(&settings, &store, &inbox, &cancellations)?;
     for _ in 0..GATEWAYS {
         let gateway = Gateway {
             settings: settings.clone(),
@@ -113,6 +121,7 @@
             tasks: tasks.clone(),
             types: types.clone(),
             polls: polls.clone(),
+            cancellations: cancellations.clone(),
             unreachable: Default::default(),
         };
         spawn("gateway", move || gateway.run())?;
@@ -126,6 +135,8 @@
         &types,
         &inbox,
     )?;
+    let query_patience = Duration::from_secs_f64(report_s / 2.0);
+    let cancellation_queries = CancellationQueries::start(&peers, &inbox, epoch, query_patience)?;
     let links = Links {
         store: store.clone(),
         peers: peers.clone(),
@@ -133,6 +144,8 @@
         stage: stage.clone(),
         wishes,
         pool,
+        cancellations,
+        cancellation_queries,
     };
     let controller = Controller::new(settings.clone(), epoch, links);
     let handler = move |call: Call, respond: crate::transport::Respond| match call {
@@ -154,6 +167,13 @@
     (share * most.saturating_sub(OWN_SOCKETS) as f64) as usize
 }
 
+/// How many cancellations are kept for other controllers: no more can be written before the tasks of
+/// the first must be gone.
+fn cancellation_capacity(settings: &Settings) -> usize {
+    let cluster = &settings.cluster;
+    (cluster.state.write_rps * cluster.workers.cancel_s).ceil() as usize
+}
+
 /// How much the front may take.
 pub fn bounds(settings: &Settings) -> Bounds {
     let report_s = settings.cluster.workers.report_s;
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -4,9 +4,10 @@
 //! may answer with an older state after that. So the recorded ends of all jobs that are asked about
 //! within a moment are compared in one transaction that changes nothing.
 
-use super::controller::Message;
 use super::gateway::{ended_status, later};
+use super::messages::Message;
 use super::{busy, spawn};
+use crate::bookkeeping::cancellations::CancellationLog;
 use crate::bookkeeping::records::{end_key, EndRecord};
 use crate::bookkeeping::store::{Outcome, Store, Unavailable};
 use crate::protocol::job::JobStatus;
@@ -41,14 +42,16 @@
     settings: &Settings,
     store: &Store,
     controller: &Sender<Message>,
+    cancellations: &CancellationLog,
 ) -> anyhow::Result<Polls> {
     let (tx, rx) = bounded(WAITING);
     let state = &settings.cluster.state;
     let most = state.conditions();
     let pause = Duration::from_secs_f64(1.0 / (REQUESTS_SHARE * state.rps));
     let (store, controller) = (store.clone(), controller.clone());
+    let cancellations = cancellations.clone();
     spawn("polls", move || {
-        confirm_all(&rx, &store, &controller, most, pause)
+        confirm_all(&rx, &store, &controller, &cancellations, most, pause)
     })?;
     Ok(Polls(tx))
 }
@@ -57,6 +60,7 @@
     polls: &Receiver<Poll>,
     store: &Store,
     controller: &Sender<Message>,
+    cancellations: &CancellationLog,
     most: usize,
     pause: Duration,
 ) {
@@ -78,7 +82,8 @@
                 }
                 Outcome::Conflict(_) => match store.read::<EndRecord>(&end_key(&status.id)) {
                     Ok(Some((end, _))) => {
-                        Reply::json(200, &ended_status(controller, &status.id, end.state))
+                        let ended = ended_status(controller, cancellations, &status.id, end.state);
+                        Reply::json(200, &ended)
                     }
                     Ok(None) | Err(Unavailable) => later(),
                 },
--- /dev/null
+++ b/src/service/record_reader.rs
@@ -0,0 +1,147 @@
+//! Reads the records for a new leader, then follows the open jobs for as long as its term lasts.
+
+use super::messages::Message;
+use crate::bookkeeping::records::{OpenRecord, OPEN, PLACE, RUN};
+use crate::bookkeeping::store::{Store, Unavailable};
+use crate::coordination::recovery::Records;
+use crate::coordination::Time;
+use crate::protocol::store::{Events, Item};
+use crossbeam::channel::Sender;
+use serde_json::Value;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tracing::warn;
+
+/// Report intervals after which all open jobs are read anew, as an event may have been lost.
+const REREAD_INTERVALS: u32 = 8;
+/// Watches in a report interval, at the least. The end of each proves up to when all cancellations
+/// on record are known.
+const WATCHES_AN_INTERVAL: u32 = 2;
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The reader of one term.
+pub struct RecordReader {
+    pub store: Store,
+    pub inbox: Sender<Message>,
+    /// The present term; the reader ends with its own.
+    pub term: Arc<AtomicU64>,
+    pub token: u64,
+    pub epoch: Instant,
+    pub report_interval: Duration,
+}
+
+impl RecordReader {
+    /// Reads and follows until the term is over.
+    pub fn run(self) {
+        if let Some(revision) = self.load() {
+            self.follow(revision);
+        }
+    }
+
+    fn is_current(&self) -> bool {
+        self.term.load(Ordering::Relaxed) == self.token
+    }
+
+    fn now(&self) -> Time {
+        self.epoch.elapsed().as_secs_f64()
+    }
+
+    /// Reads all records; the revision from which on changes are to be watched.
+    fn load(&self) -> Option<u64> {
+        while self.is_current() {
+            let sent = self.now();
+            match self.read_all() {
+                Ok((records, revision)) => {
+                    let token = self.token;
+                    let _ = self.inbox.send(Message::Loaded {
+                        token,
+                        records,
+                        sent,
+                    });
+                    return Some(revision);
+                }
+                Err(Unavailable) => std::thread::sleep(RETRY_PAUSE),
+            }
+        }
+        None
+    }
+
+    fn read_all(&self) -> Result<(Records, u64), Unavailable> {
+        let (open, revision) = self.store.list(OPEN)?;
+        let records = Records {
+            open,
+            run: self.store.list(RUN)?.0,
+            places: self.store.list(PLACE)?.0,
+        };
+        Ok((records, revision))
+    }
+
+    fn follow(&self, mut after: u64) {
+        let mut read_at = Instant::now();
+        while self.is_current() {
+            if read_at.elapsed() > self.report_interval * REREAD_INTERVALS {
+                if let Ok(revision) = self.reread() {
+                    read_at = Instant::now();
+                    after = revision;
+                }
+            }
+            match self.watch(after) {
+                Ok(revision) => after = revision,
+                Err(Unavailable) => std::thread::sleep(RETRY_PAUSE),
+            }
+        }
+    }
+
+    /// Waits for changes and hands them in; the revision to go on from.
+    fn watch(&self, after: u64) -> Result<u64, Unavailable> {
+        let sent = self.now();
+        let hold = self.report_interval / WATCHES_AN_INTERVAL;
+        let Some(events) = self.store.watch(OPEN, after, hold)? else {
+            return self.reread();
+        };
+        let revision = after.max(events.revision);
+        self.hand_in_events(events);
+        self.records_read(sent);
+        Ok(revision)
+    }
+
+    /// Reads all open jobs anew; the revision to go on from.
+    fn reread(&self) -> Result<u64, Unavailable> {
+        let sent = self.now();
+        let (items, revision) = self.store.list(OPEN)?;
+        for Item {
+            key,
+            value,
+            version,
+        } in items
+        {
+            self.opened(&key, value, version);
+        }
+        self.records_read(sent);
+        Ok(revision)
+    }
+
+    fn hand_in_events(&self, events: Events) {
+        for event in events.events {
+            if let Some(key) = event.put {
+                self.opened(&key, event.value, event.version);
+            }
+        }
+    }
+
+    fn opened(&self, key: &str, value: Value, version: u64) {
+        match serde_json::from_value::<OpenRecord>(value) {
+            Ok(record) => {
+                let message = Message::Opened(Box::new(record), version);
+                let _ = self.inbox.send(message);
+            }
+            Err(error) => warn!("{key}: cannot be read: {error}"),
+        }
+    }
+
+    fn records_read(&self, sent: Time) {
+        let token = self.token;
+        let _ = self.inbox.send(Message::RecordsRead { token, sent });
+    }
+}
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -1,7 +1,7 @@
 //! What speaks to the state service, the workers and the cloud for the controller.
 
-use super::controller::Message;
 use super::gateway::SharedTypes;
+use super::messages::Message;
 use super::spawn;
 use crate::bookkeeping::records::{end_key, EndRecord, LEADER, TYPES};
 use crate::bookkeeping::store::{Outcome, Store};
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -2,6 +2,7 @@
 
 use super::runtime::Runtime;
 use super::{Reply, Respond};
+use crate::bookkeeping::cancellations::{CancellationLog, CancellationPage, Cursor};
 use crossbeam::channel::bounded;
 use std::collections::HashMap;
 use std::future::Future;
@@ -20,6 +21,7 @@
 use wire::peer_client::PeerClient;
 use wire::peer_server::{Peer, PeerServer};
 use wire::{AskReply, AskRequest, HearsReply, HearsRequest};
+use wire::{CancellationsReply, CancellationsRequest};
 use wire::{PromiseReply, PromiseRequest, ReportReply, ReportRequest};
 
 /// What another controller asks for.
@@ -46,6 +48,7 @@
 
 struct Service {
     handler: Arc<PeerHandler>,
+    cancellations: CancellationLog,
 }
 
 /// How long a peer may take over a call before it is given up on.
@@ -118,6 +121,24 @@
         };
         Ok(Response::new(PromiseReply { promised }))
     }
+
+    async fn cancellations(
+        &self,
+        request: Request<CancellationsRequest>,
+    ) -> Result<Response<CancellationsReply>, Status> {
+        let request = request.into_inner();
+        let page = self.cancellations.page(Cursor {
+            incarnation: request.incarnation,
+            next: request.next,
+        });
+        Ok(Response::new(CancellationsReply {
+            incarnation: page.cursor.incarnation,
+            next: page.cursor.next,
+            continues: page.continues,
+            complete: page.complete,
+            jobs: page.jobs.iter().map(|job| job.to_string()).collect(),
+        }))
+    }
 }
 
 /// The other controllers, each reached over one connection.
@@ -134,6 +155,7 @@
         listen: SocketAddr,
         peers: &[(String, SocketAddr)],
         handler: Arc<PeerHandler>,
+        cancellations: CancellationLog,
     ) -> std::io::Result<Peers> {
         let mut channels = HashMap::new();
         {
@@ -146,7 +168,11 @@
                 channels.insert(name.clone(), endpoint.connect_lazy());
             }
         }
-        let service = PeerServer::new(Service { handler }).max_decoding_message_size(MOST_BYTES);
+        let service = PeerServer::new(Service {
+            handler,
+            cancellations,
+        })
+        .max_decoding_message_size(MOST_BYTES);
         runtime.spawn(async move {
             loop {
                 let server = Server::builder().add_service(service.clone());
@@ -237,6 +263,31 @@
         Some(reply.promised)
     }
 
+    /// Asks which cancellations another controller has confirmed since an earlier answer; `None` if
+    /// there is no answer, as from a version that does not know the call.
+    pub fn cancellations(
+        &self,
+        name: &str,
+        after: Cursor,
+        within: Duration,
+    ) -> Option<CancellationPage> {
+        let mut client = self.client(name)?;
+        let request = CancellationsRequest {
+            incarnation: after.incarnation,
+            next: after.next,
+        };
+        let reply = self.call(within, async move { client.cancellations(request).await })?;
+        Some(CancellationPage {
+            cursor: Cursor {
+                incarnation: reply.incarnation,
+                next: reply.next,
+            },
+            continues: reply.continues,
+            complete: reply.complete,
+            jobs: reply.jobs.iter().map(|job| job.as_str().into()).collect(),
+        })
+    }
+
     /// Whether another controller is up and can be reached.
     pub fn reaches(&self, name: &str, within: Duration) -> bool {
         self.promise(name, 0, within).is_some()
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -153,6 +153,42 @@
     assert_eq!(accepted(&grid.front(0), &small_job("req-1")) / 100, 2);
 }
 
+#[test]
+fn a_leader_without_the_state_service_stops_what_another_controller_has_confirmed_as_cancelled() {
+    let grid = Grid::new("refused");
+    let _nodes: Vec<Option<Killed>> = (0..3).map(|i| grid.start(i)).collect();
+    accepted(&grid.front(0), &small_job("req-1"));
+    accepted(&grid.front(0), &small_job("req-2"));
+    let leader = until("there is a leader", || grid.leader());
+    until("all tasks run", || {
+        grid.report_to(&[leader]);
+        (grid.worker.lock().unwrap().tasks.len() == 4).then_some(())
+    });
+    // Nobody else is elected before the state service is down for all.
+    grid.keep_leases();
+    grid.state_refuses[leader].store(true, Ordering::Relaxed);
+    let other = grid.front((leader + 1) % 3);
+    until("another controller confirms the cancellation", || {
+        call("POST", &other, "/v2/runs/req-1/abort", &json!({})).filter(|a| a.0 == 200)
+    });
+    grid.state_down.store(true, Ordering::Relaxed);
+    until("its tasks are stopped", || {
+        grid.report_to(&[leader]);
+        let worker = grid.worker.lock().unwrap();
+        let left = worker
+            .tasks
+            .keys()
+            .all(|(task, _)| task.starts_with("req-2/"));
+        left.then_some(())
+    });
+    grid.report_to(&[leader]);
+    assert_eq!(
+        grid.worker.lock().unwrap().tasks.len(),
+        2,
+        "the others live on"
+    );
+}
+
 /// A job of two small tasks that waits for others.
 fn waiting(id: &str, waits_on: &[&str]) -> Value {
     let mut job = small_job(id);
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // no test uses all of it
 
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
@@ -141,7 +141,7 @@
 pub fn serve(
     answer: impl Fn(&Method, &str, &Value) -> (u16, Value) + Send + Sync + 'static,
 ) -> SocketAddr {
-    let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+    let server = Arc::new(server());
     let address = server.server_addr().to_ip().unwrap();
     let answer = Arc::new(answer);
     for _ in 0..16 {
@@ -233,12 +233,30 @@
     }
 }
 
-pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port()
+/// Ports that controllers of this process's tests listen on, now or later.
+static CONTROLLER_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// A port for a controller, which none of the stand-ins in this process takes.
+fn controller_port() -> u16 {
+    let mut taken = CONTROLLER_PORTS.lock().unwrap();
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let port = listener.local_addr().unwrap().port();
+        if taken.insert(port) {
+            return port;
+        }
+    }
+}
+
+/// A server on a port that is no controller's.
+fn server() -> Server {
+    loop {
+        let server = Server::http("127.0.0.1:0").unwrap();
+        let port = server.server_addr().to_ip().unwrap().port();
+        if !CONTROLLER_PORTS.lock().unwrap().contains(&port) {
+            return server;
+        }
+    }
 }
 
 pub fn call(method: &str, address: &str, path: &str, body: &Value) -> Option<(u16, Value)> {
@@ -274,14 +292,18 @@
 pub struct Grid {
     pub state: Arc<Mutex<State>>,
     pub state_down: Arc<AtomicBool>,
+    /// Which of the controllers the state service refuses alone.
+    pub state_refuses: [Arc<AtomicBool>; 3],
     /// Whether no change of an open job reaches those who watch for it.
     pub watch_deaf: Arc<AtomicBool>,
     pub cloud_down: Arc<AtomicBool>,
     pub worker: Arc<Mutex<Worker>>,
     worker_address: SocketAddr,
-    state_address: SocketAddr,
+    /// One for each controller, so that the stand-in knows who asks.
+    state_addresses: [SocketAddr; 3],
     cloud_address: SocketAddr,
-    ports: Vec<(u16, u16)>,
+    /// For users and workers, and for the other controllers.
+    ports: [(u16, u16); 3],
     name: &'static str,
 }
 
@@ -291,17 +313,20 @@
         let state = Arc::new(Mutex::new(State::default()));
         let state_down = Arc::new(AtomicBool::new(false));
         let watch_deaf = Arc::new(AtomicBool::new(false));
-        let (kept, down, deaf) = (state.clone(), state_down.clone(), watch_deaf.clone());
-        let state_address = serve(move |method, url, body| {
-            if down.load(Ordering::Relaxed) {
-                return (503, json!({"error": "trouble"}));
-            }
-            let mut state = kept.lock().unwrap();
-            let (status, mut answer) = state.answer(method, url, body);
-            if deaf.load(Ordering::Relaxed) && url.starts_with("/changes?under=open/") {
-                answer["news"] = json!([]);
-            }
-            (status, answer)
+        let state_refuses: [Arc<AtomicBool>; 3] = Default::default();
+        let state_addresses = state_refuses.clone().map(|refuses| {
+            let (kept, down, deaf) = (state.clone(), state_down.clone(), watch_deaf.clone());
+            serve(move |method, url, body| {
+                if down.load(Ordering::Relaxed) || refuses.load(Ordering::Relaxed) {
+                    return (503, json!({"error": "trouble"}));
+                }
+                let mut state = kept.lock().unwrap();
+                let (status, mut answer) = state.answer(method, url, body);
+                if deaf.load(Ordering::Relaxed) && url.starts_with("/changes?under=open/") {
+                    answer["news"] = json!([]);
+                }
+                (status, answer)
+            })
         });
         let cloud_down = Arc::new(AtomicBool::new(false));
         let down = cloud_down.clone();
@@ -329,13 +354,14 @@
         Grid {
             state,
             state_down,
+            state_refuses,
             watch_deaf,
             cloud_down,
             worker,
             worker_address,
-            state_address,
+            state_addresses,
             cloud_address,
-            ports: (0..3).map(|_| (free_port(), free_port())).collect(),
+            ports: std::array::from_fn(|_| (controller_port(), controller_port())),
             name,
         }
     }
@@ -361,7 +387,7 @@
              [settings.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = 8\n\
              [settings.cloud]\nrps = 10.0\nlist_lag_s = 4.0\n\
              [settings.limits]\nram_mb = 100.0\nmax_sockets = 500\n",
-            self.cloud_address, self.state_address
+            self.cloud_address, self.state_addresses[i]
         );
         let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let path = folder.join(format!("{}-{i}.toml", self.name));
@@ -391,6 +417,14 @@
         }
     }
 
+    /// Lets no lease end, however long nobody renews it.
+    pub fn keep_leases(&self) {
+        let mut state = self.state.lock().unwrap();
+        for (_, life) in state.leases.values_mut() {
+            *life = Duration::from_secs(3600);
+        }
+    }
+
     /// Which node the leader's record names.
     pub fn leader(&self) -> Option<usize> {
         let state = self.state.lock().unwrap();
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,5 +1,6 @@
-//! A peer of the version before, which has no call for submissions that wait.
+//! Calls between controllers, also with one of the version before, which lacks some of them.
 
+use stairstage::bookkeeping::cancellations::{CancellationLog, Cursor};
 use stairstage::transport::peers::wire::peer_server::{Peer, PeerServer};
 use stairstage::transport::peers::wire::*;
 use stairstage::transport::peers::{Asked, Kind, Peers};
@@ -41,6 +42,13 @@
     async fn promise(&self, _: Request<PromiseRequest>) -> Result<Response<PromiseReply>, Status> {
         Ok(Response::new(PromiseReply::default()))
     }
+
+    async fn cancellations(
+        &self,
+        _: Request<CancellationsRequest>,
+    ) -> Result<Response<CancellationsReply>, Status> {
+        Err(Status::unimplemented("no such call"))
+    }
 }
 
 fn free_address() -> SocketAddr {
@@ -48,14 +56,11 @@
     listener.local_addr().unwrap()
 }
 
-#[test]
-fn a_submission_that_waits_is_taken_by_no_peer_that_does_not_know_of_waiting() {
+/// A controller of the version before; the runtime and the client of one that asks it.
+fn with_former(asked: Arc<AtomicUsize>) -> (Runtime, Peers) {
     let runtime = Runtime::start().unwrap();
     let (former, own) = (free_address(), free_address());
-    let asked = Arc::new(AtomicUsize::new(0));
-    let service = PeerServer::new(Former {
-        asked: asked.clone(),
-    });
+    let service = PeerServer::new(Former { asked });
     std::thread::spawn(move || {
         let server = tonic::transport::Server::builder().add_service(service);
         let mut alone = tokio::runtime::Builder::new_current_thread();
@@ -63,7 +68,28 @@
         alone.block_on(server.serve(former)).unwrap();
     });
     let others = [("former".to_string(), former)];
-    let peers = Peers::start(&runtime, own, &others, Arc::new(|_, _| {})).unwrap();
+    let log = CancellationLog::new(10);
+    let peers = Peers::start(&runtime, own, &others, Arc::new(|_, _| {}), log).unwrap();
+    (runtime, peers)
+}
+
+/// Tries until there is an answer: the other side may not listen yet.
+fn answered<T>(mut attempt: impl FnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(answer) = attempt() {
+            return answer;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(240), "never answers");
+    }
+}
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[test]
+fn a_submission_that_waits_is_taken_by_no_peer_that_does_not_know_of_waiting() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let (_runtime, peers) = with_former(asked.clone());
     let ask = |waits: bool| {
         let asked = Asked {
             kind: Kind::Submit,
@@ -71,18 +97,41 @@
             body: b"{}",
             waits,
         };
-        peers.ask("former", &asked, Duration::from_secs(20))
-    };
-    let begun = Instant::now();
-    let taken = loop {
-        match ask(false) {
-            Some(reply) => break reply,
-            // It may not listen yet.
-            None => assert!(begun.elapsed() < Duration::from_secs(240), "never answers"),
-        }
+        peers.ask("former", &asked, PATIENCE)
     };
+    let taken = answered(|| ask(false));
     assert_eq!(taken.status, 201);
     let before = asked.load(Ordering::Relaxed);
     assert!(ask(true).is_none());
     assert_eq!(asked.load(Ordering::Relaxed), before, "not even asked");
 }
+
+#[test]
+fn a_controller_of_the_version_before_says_nothing_of_its_cancellations() {
+    let (_runtime, peers) = with_former(Arc::default());
+    answered(|| peers.hears_workers("former", PATIENCE));
+    let told = peers.cancellations("former", Cursor::default(), PATIENCE);
+    assert_eq!(told, None);
+}
+
+#[test]
+fn a_controller_tells_the_cancellations_that_it_has_confirmed_since_it_was_last_asked() {
+    let (teller, asker) = (free_address(), free_address());
+    let log = CancellationLog::new(10);
+    log.record("req-1");
+    let runtime = Runtime::start().unwrap();
+    let start = |own, others: &[(String, SocketAddr)], log| {
+        Peers::start(&runtime, own, others, Arc::new(|_, _| {}), log).unwrap()
+    };
+    let _teller = start(teller, &[], log.clone());
+    let others = [("teller".to_string(), teller)];
+    let peers = start(asker, &others, CancellationLog::new(10));
+    let ask = |after| answered(|| peers.cancellations("teller", after, PATIENCE));
+    let first = ask(Cursor::default());
+    assert_eq!(first, log.page(Cursor::default()));
+    assert!(!first.continues, "what came before is on record");
+    log.record("req-2");
+    let second = ask(first.cursor);
+    assert!(second.continues && second.complete);
+    assert_eq!(second.jobs, ["req-2".into()]);
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -7,6 +7,7 @@
 use stairstage::coordination::core::{Core, Effect, Heard, Ordered};
 use stairstage::coordination::redirects::Redirects;
 use stairstage::protocol::cloud::{ListedMachine, MachineState};
+use stairstage::protocol::job::JobState;
 use stairstage::protocol::worker::*;
 use std::collections::BTreeMap;
 
@@ -150,6 +151,24 @@
     assert_eq!(starts.len(), 4, "the lease held after all");
 }
 
+#[test]
+fn a_leader_in_doubt_stops_what_was_cancelled_without_waiting_for_a_report() {
+    let (mut core, attempts) = running_on_one();
+    core.ordered(&"m-1".into(), Ordered::Unknown, 1.0);
+    core.valid_until = 1.0;
+    core.ended("req-1", JobState::Cancelled, 8.0);
+    core.step(8.0);
+    let mut stopped = Vec::new();
+    for effect in core.take_effects() {
+        if let Effect::Orders { orders, .. } = effect {
+            stopped.extend(orders.commands);
+        }
+    }
+    let is_stop = |c: &Command| matches!(c, Command::Stop { .. });
+    assert_eq!(stopped.len(), attempts.len());
+    assert!(stopped.iter().all(is_stop), "{stopped:?}");
+}
+
 #[test]
 fn a_task_that_vanished_with_its_worker_s_process_does_not_stay_for_ever() {
     let (mut core, _) = running_on_one();
