Users' requests are decided by state machines, apart from threads and sockets

Submissions, queries, cancellations and confirmations of polls were decided on blocking threads against the real client of the state service, where generated tests do not reach. The decisions move to coordination/requests, as machines that take events and return effects; the gateway and the stage of polls carry those out. Status codes, tries, patience and the asking of other nodes are as before.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -153,6 +153,20 @@
     pub at_ms: Option<u64>,
 }
 
+impl EndRecord {
+    /// The end of a job that is cancelled at a time of day.
+    pub fn cancelled(at_ms: u64) -> EndRecord {
+        EndRecord {
+            state: JobState::Cancelled,
+            at_ms: Some(at_ms),
+        }
+    }
+
+    pub fn to_value(&self) -> serde_json::Value {
+        serde_json::to_value(self).expect("plain data")
+    }
+}
+
 /// Completed tasks as ranges (first, last).
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,7 +5,7 @@
 //! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`],
 //! [`pipelines`],
 //! [`deadlines`], [`backfill`], [`placement`], [`predict`], [`fleet`], [`retiring`] and [`health`]
-//! decide. [`redirects`] is a follower's.
+//! decide. [`redirects`] is a follower's; [`requests`] are users', on any node.
 
 pub mod backfill;
 pub mod cancellations;
@@ -24,6 +24,7 @@
 pub mod recovery;
 pub mod redirects;
 pub mod reports;
+pub mod requests;
 pub mod retiring;
 pub mod state;
 pub mod writes;
--- /dev/null
+++ b/src/coordination/requests/acceptance.rs
@@ -0,0 +1,67 @@
+//! Accepting a job by writing its first record.
+
+use super::lookup::Lookup;
+use super::steps::{Progress, Step, StoreAnswer, StoreCall};
+use super::TRIES;
+use crate::bookkeeping::records::{end_key, open_key};
+use crate::bookkeeping::store::{Outcome, Unavailable};
+use crate::protocol::job::JobStatus;
+use crate::protocol::store::Transaction;
+use serde_json::Value;
+
+/// Writes a record of a job while none is there.
+pub(super) struct Acceptance {
+    job: String,
+    transaction: Transaction,
+    tries: usize,
+    lookup: Option<Lookup>,
+}
+
+pub(super) enum Accepted {
+    /// By this request, with the record's version.
+    Now(u64),
+    /// Before, perhaps by a try of ours whose answer was lost; the state, where it is to be seen.
+    Before(Option<JobStatus>),
+}
+
+impl Acceptance {
+    pub(super) fn begin(job: &str, key: String, value: Value) -> (Acceptance, StoreCall) {
+        let transaction = Transaction::default()
+            .absent(open_key(job))
+            .absent(end_key(job))
+            .put(key, value);
+        let acceptance = Acceptance {
+            job: job.to_string(),
+            transaction,
+            tries: 1,
+            lookup: None,
+        };
+        let call = acceptance.commit();
+        (acceptance, call)
+    }
+
+    fn commit(&self) -> StoreCall {
+        StoreCall::Commit(self.transaction.clone())
+    }
+
+    pub(super) fn on(&mut self, answer: StoreAnswer) -> Progress<Accepted> {
+        if let Some(lookup) = &mut self.lookup {
+            return Ok(lookup.on(answer)?.map(Accepted::Before));
+        }
+        match answer.outcome() {
+            Outcome::Applied(version) => Ok(Step::Finished(Accepted::Now(version))),
+            Outcome::Conflict(_) => {
+                let (lookup, call) = Lookup::begin(&self.job);
+                self.lookup = Some(lookup);
+                Ok(Step::Call(call))
+            }
+            Outcome::Unknown if self.tries < TRIES => {
+                self.tries += 1;
+                Ok(Step::Call(self.commit()))
+            }
+            Outcome::Unknown | Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => {
+                Err(Unavailable)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/requests/steps.rs
@@ -0,0 +1,61 @@
+//! Calls to the state service, one at a time, and what a part of a request makes of the answers.
+
+use crate::bookkeeping::store::{Outcome, Unavailable};
+use crate::protocol::store::{Item, Transaction};
+use serde::de::DeserializeOwned;
+
+/// What the state service is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreCall {
+    /// The value of a key: [`StoreAnswer::Read`].
+    Read(String),
+    /// [`StoreAnswer::Committed`].
+    Commit(Transaction),
+}
+
+/// What has come of a call.
+#[derive(Debug)]
+pub enum StoreAnswer {
+    Read(Result<Option<Item>, Unavailable>),
+    Committed(Outcome),
+}
+
+impl StoreAnswer {
+    /// The value that was read, with its version; what cannot be read as `T` counts as absent.
+    pub(super) fn value<T: DeserializeOwned>(self) -> Result<Option<(T, u64)>, Unavailable> {
+        let StoreAnswer::Read(read) = self else {
+            return Err(Unavailable);
+        };
+        Ok(read?.and_then(|item| {
+            let value = serde_json::from_value(item.value).ok()?;
+            Some((value, item.version))
+        }))
+    }
+
+    /// What became of the transaction that was committed.
+    pub(super) fn outcome(self) -> Outcome {
+        match self {
+            StoreAnswer::Committed(outcome) => outcome,
+            StoreAnswer::Read(_) => Outcome::Refused,
+        }
+    }
+}
+
+/// The next call, or the result.
+#[derive(Debug)]
+pub(super) enum Step<T> {
+    Call(StoreCall),
+    Finished(T),
+}
+
+/// How a part of a request goes on; it ends when the state service is not to be had.
+pub(super) type Progress<T> = Result<Step<T>, Unavailable>;
+
+impl<T> Step<T> {
+    pub(super) fn map<U>(self, of: impl FnOnce(T) -> U) -> Step<U> {
+        match self {
+            Step::Call(call) => Step::Call(call),
+            Step::Finished(result) => Step::Finished(of(result)),
+        }
+    }
+}
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -2,7 +2,7 @@
 
 use super::busy;
 use super::gateway::Task;
-use super::messages::{Located, Message, PeerReachability};
+use super::messages::{Message, PeerReachability};
 use super::peer_queries::{self, CancellationQueries, PromiseCollector};
 use super::record_reader::RecordReader;
 use super::workers::{CloudCall, Pool};
@@ -14,6 +14,7 @@
 use crate::coordination::election::{News, Wish};
 use crate::coordination::recovery::Records;
 use crate::coordination::redirects::Redirects;
+use crate::coordination::requests::Located;
 use crate::coordination::state::Name;
 use crate::coordination::Time;
 use crate::protocol::cloud::{MachineType, LIST_PAGE};
--- /dev/null
+++ b/src/service/end_notifier.rs
@@ -0,0 +1,27 @@
+//! Where every end goes that is told to a user, before the user is told.
+
+use super::messages::Message;
+use crate::bookkeeping::cancellations::CancellationLog;
+use crate::protocol::job::JobState;
+use crossbeam::channel::Sender;
+
+/// Notes ends that are on record for the controller and, if they are cancellations, for the other
+/// controllers. Every answer that tells of an end on the strength of the state service or of the
+/// leader is given after this.
+#[derive(Clone)]
+pub struct EndNotifier {
+    pub controller: Sender<Message>,
+    pub cancellations: CancellationLog,
+}
+
+impl EndNotifier {
+    /// Notes how a job has ended.
+    pub fn note(&self, id: &str, state: JobState) {
+        if state == JobState::Cancelled {
+            self.cancellations.record(id);
+        }
+        let _ = self
+            .controller
+            .try_send(Message::Ended(id.to_string(), state));
+    }
+}
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -5,10 +5,11 @@
 use crate::coordination::core::{Ordered, Written};
 use crate::coordination::election::News;
 use crate::coordination::recovery::Records;
+use crate::coordination::requests::Located;
 use crate::coordination::state::Name;
 use crate::coordination::Time;
 use crate::protocol::cloud::{ListedMachine, MachineType};
-use crate::protocol::job::{JobState, JobStatus};
+use crate::protocol::job::JobState;
 use crate::protocol::worker::Report;
 use crate::transport::Respond;
 use crossbeam::channel::Sender;
@@ -68,12 +69,3 @@
     /// Workers report to one that answers.
     ReachableWithWorkers,
 }
-
-/// What the controller tells the gateway.
-pub struct Located {
-    /// The job's state, if this node can be sure of it.
-    pub status: Option<JobStatus>,
-    /// Whether this node leads, and its picture is current.
-    pub leads: bool,
-    pub leader: Option<String>,
-}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -5,6 +5,7 @@
 //! does not fit is answered at once.
 
 pub mod controller;
+pub mod end_notifier;
 pub mod gateway;
 mod isolation;
 pub mod messages;
@@ -24,6 +25,7 @@
 use anyhow::Context;
 use controller::{Controller, Links};
 use crossbeam::channel::bounded;
+use end_notifier::EndNotifier;
 use gateway::{Gateway, SharedTypes, Task};
 use messages::Message;
 use peer_queries::CancellationQueries;
@@ -111,7 +113,11 @@
     spawn("election", move || election.run())?;
 
     let types = Arc::<SharedTypes>::default();
-    let polls = polls::start(&settings, &store, &inbox, &cancellations)?;
+    let ends = EndNotifier {
+        controller: inbox.clone(),
+        cancellations: cancellations.clone(),
+    };
+    let polls = polls::start(&settings, &store, &ends)?;
     for _ in 0..GATEWAYS {
         let gateway = Gateway {
             settings: settings.clone(),
@@ -121,7 +127,7 @@
             tasks: tasks.clone(),
             types: types.clone(),
             polls: polls.clone(),
-            cancellations: cancellations.clone(),
+            ends: ends.clone(),
             unreachable: Default::default(),
         };
         spawn("gateway", move || gateway.run())?;
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -1,20 +1,16 @@
-//! Users' polls of open jobs, confirmed together.
-//!
-//! The leader's picture may lack a cancellation that another node has told a user of, and nobody
-//! may answer with an older state after that. So the recorded ends of all jobs that are asked about
-//! within a moment are compared in one transaction that changes nothing.
+//! The stage of users' polls of open jobs: carries out what [`Confirmation`] decides of those that
+//! come within a moment.
 
-use super::gateway::{ended_status, later};
-use super::messages::Message;
+use super::end_notifier::EndNotifier;
+use super::gateway::{reply_of, store_answer};
 use super::{busy, spawn};
-use crate::bookkeeping::cancellations::CancellationLog;
-use crate::bookkeeping::records::{end_key, EndRecord};
-use crate::bookkeeping::store::{Outcome, Store, Unavailable};
+use crate::bookkeeping::store::Store;
+use crate::coordination::requests::polls::{Confirmation, Effect};
 use crate::protocol::job::JobStatus;
-use crate::protocol::store::Transaction;
 use crate::settings::Settings;
-use crate::transport::{Reply, Respond};
+use crate::transport::Respond;
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Polls that may wait.
@@ -38,20 +34,14 @@
     }
 }
 
-pub fn start(
-    settings: &Settings,
-    store: &Store,
-    controller: &Sender<Message>,
-    cancellations: &CancellationLog,
-) -> anyhow::Result<Polls> {
+pub fn start(settings: &Settings, store: &Store, ends: &EndNotifier) -> anyhow::Result<Polls> {
     let (tx, rx) = bounded(WAITING);
     let state = &settings.cluster.state;
     let most = state.conditions();
     let pause = Duration::from_secs_f64(1.0 / (REQUESTS_SHARE * state.rps));
-    let (store, controller) = (store.clone(), controller.clone());
-    let cancellations = cancellations.clone();
+    let (store, ends) = (store.clone(), ends.clone());
     spawn("polls", move || {
-        confirm_all(&rx, &store, &controller, &cancellations, most, pause)
+        confirm_all(&rx, &store, &ends, most, pause)
     })?;
     Ok(Polls(tx))
 }
@@ -59,8 +49,7 @@
 fn confirm_all(
     polls: &Receiver<Poll>,
     store: &Store,
-    controller: &Sender<Message>,
-    cancellations: &CancellationLog,
+    ends: &EndNotifier,
     most: usize,
     pause: Duration,
 ) {
@@ -69,29 +58,25 @@
         std::thread::sleep(pause);
         let mut batch = vec![first];
         batch.extend(polls.try_iter().take(most - 1));
-        let mut txn = Transaction::default();
-        for (status, _) in &batch {
-            txn = txn.absent(end_key(&status.id));
-        }
-        let outcome = store.commit(&txn);
-        for (status, respond) in batch {
-            let reply = match &outcome {
-                Outcome::Applied(_) => Reply::json(200, &status),
-                Outcome::Conflict(failed) if !failed.contains(&end_key(&status.id)) => {
-                    Reply::json(200, &status)
-                }
-                Outcome::Conflict(_) => match store.read::<EndRecord>(&end_key(&status.id)) {
-                    Ok(Some((end, _))) => {
-                        let ended = ended_status(controller, cancellations, &status.id, end.state);
-                        Reply::json(200, &ended)
-                    }
-                    Ok(None) | Err(Unavailable) => later(),
-                },
-                Outcome::Refused | Outcome::TooLarge | Outcome::NoLease | Outcome::Unknown => {
-                    later()
+        confirm_batch(batch, store, ends);
+    }
+}
+
+fn confirm_batch(batch: Vec<Poll>, store: &Store, ends: &EndNotifier) {
+    let (polls, responds): (Vec<JobStatus>, Vec<Respond>) = batch.into_iter().unzip();
+    let ids: Vec<String> = polls.iter().map(|status| status.id.clone()).collect();
+    let mut responds: Vec<Option<Respond>> = responds.into_iter().map(Some).collect();
+    let (mut confirmation, effects) = Confirmation::begin(polls);
+    let mut effects = VecDeque::from(effects);
+    while let Some(effect) = effects.pop_front() {
+        match effect {
+            Effect::Store(call) => effects.extend(confirmation.on(store_answer(store, call))),
+            Effect::Ended(poll, state) => ends.note(&ids[poll], state),
+            Effect::Answer(poll, answer) => {
+                if let Some(respond) = responds[poll].take() {
+                    respond(reply_of(answer));
                 }
-            };
-            respond(reply);
+            }
         }
     }
 }
