--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use stairstage::coordination::state::Name;
 use stairstage::protocol::cloud::MachineType;
 use stairstage::protocol::job::JobSpec;
-use stairstage::protocol::store::{Change, Item, Transaction};
+use stairstage::protocol::store::{Change, Condition, Item, Transaction};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
 use std::collections::BTreeMap;
@@ -215,14 +215,20 @@
         conditions && txn.changes.len() <= self.txn_ops && txn.changes.iter().all(fits)
     }
 
+    /// The keys of conditions that don't hold.
+    pub fn conflicts(&self, txn: &Transaction) -> Vec<String> {
+        let version = |key: &String| self.values.get(key).map_or(0, |v| v.1);
+        let fails = |c: &&Condition| version(&c.key) != c.version;
+        let failed = txn.conditions.iter().filter(fails);
+        failed.map(|c| c.key.clone()).collect()
+    }
+
     pub fn commit(&mut self, txn: &Transaction) -> Result<u64, Refusal> {
         if !self.takes(txn) {
             return Err(Refusal::TooLarge);
         }
-        for c in &txn.conditions {
-            if self.values.get(&c.key).map_or(0, |v| v.1) != c.version {
-                return Err(Refusal::Conflict);
-            }
+        if !self.conflicts(txn).is_empty() {
+            return Err(Refusal::Conflict);
         }
         self.revision += 1;
         for change in &txn.changes {
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,231 @@
+//! Users' requests at several nodes at once, in generated schedules against a state service whose
+//! answers are lost or whose transactions come late. Every answer is held against the rules; each
+//! test brings one combination of troubles about, and checks that it has come about.
+
+mod common;
+#[path = "requests/jobs.rs"]
+mod jobs;
+#[path = "requests/leader.rs"]
+mod leader;
+#[path = "requests/parts.rs"]
+mod parts;
+#[path = "requests/rules.rs"]
+mod rules;
+#[path = "requests/schedule.rs"]
+mod schedule;
+#[path = "requests/seen.rs"]
+mod seen;
+#[path = "requests/world.rs"]
+mod world;
+
+use rules::{Kind, Told};
+use schedule::Troubles;
+use stairstage::bookkeeping::store::{Outcome, Unavailable};
+use stairstage::coordination::requests::{
+    Answer, Context, Effect, Event, Located, PeerAnswer, Request, StoreAnswer, StoreCall,
+};
+use stairstage::settings::Settings;
+use std::sync::Arc;
+
+/// What a combination has to come about for, over all schedules.
+const OFTEN: usize = 50;
+
+#[test]
+fn all_troubles_together() {
+    let seen = Troubles::default().play();
+    assert!(seen.handed_on > OFTEN && seen.refused > OFTEN, "{seen:?}");
+}
+
+#[test]
+fn users_ask_at_all_nodes_right_after_every_news() {
+    let seen = Troubles {
+        close_looks: true,
+        ends: 8,
+        cancellations: 2,
+        ..Troubles::default()
+    }
+    .play();
+    for told in [Told::Accepted, Told::Done, Told::Cancelled] {
+        assert!(seen.asked_after(Kind::Query, told) > OFTEN, "{seen:?}");
+        assert!(seen.asked_after(Kind::Submit, told) > OFTEN, "{seen:?}");
+    }
+    assert!(seen.asked_after(Kind::Cancel, Told::Accepted) > OFTEN);
+}
+
+#[test]
+fn only_the_answer_is_lost_while_others_read_what_was_written() {
+    let seen = Troubles {
+        answer_lost: 15,
+        close_looks: true,
+        ..Troubles::default()
+    }
+    .play();
+    assert!(seen.read_before_known > OFTEN, "{seen:?}");
+}
+
+#[test]
+fn transactions_are_carried_out_late_after_newer_ones() {
+    let seen = Troubles {
+        late: 15,
+        ..Troubles::default()
+    }
+    .play();
+    assert!(seen.late_applied > OFTEN, "{seen:?}");
+    assert!(seen.late_after_newer > OFTEN, "{seen:?}");
+    assert!(seen.late_after_giving_up > OFTEN, "{seen:?}");
+}
+
+#[test]
+fn requests_meet_the_end_of_a_job() {
+    let seen = Troubles {
+        ends: 15,
+        cancellations: 8,
+        ..Troubles::default()
+    }
+    .play();
+    for kind in [Kind::Submit, Kind::Query, Kind::Cancel] {
+        assert!(seen.ends_met(kind) > OFTEN, "{seen:?}");
+    }
+}
+
+#[test]
+fn the_state_service_refuses_one_node_then_all_while_users_cancel_and_ask() {
+    let seen = Troubles {
+        refusals: 6,
+        refused: 4,
+        cancellations: 8,
+        ..Troubles::default()
+    }
+    .play();
+    for kind in [Kind::Query, Kind::Cancel] {
+        assert!(seen.answers(kind, 503) > OFTEN, "{seen:?}");
+        assert!(seen.answers(kind, 200) > OFTEN, "{seen:?}");
+        assert!(seen.refusals_met(kind) > OFTEN, "{seen:?}");
+    }
+    assert!(seen.handed_on > OFTEN, "{seen:?}");
+}
+
+#[test]
+fn jobs_that_cannot_run_or_lack_a_field_and_cancellations_of_done_jobs() {
+    let seen = Troubles {
+        odd: 6,
+        ends: 20,
+        cancellations: 7,
+        ..Troubles::default()
+    }
+    .play();
+    assert!(seen.answers(Kind::Submit, 422) > OFTEN, "{seen:?}");
+    assert!(seen.answers(Kind::Submit, 400) > OFTEN, "{seen:?}");
+    assert!(seen.answers(Kind::Cancel, 404) > OFTEN, "{seen:?}");
+    assert!(
+        seen.asked_after(Kind::Cancel, Told::Done) > OFTEN,
+        "{seen:?}"
+    );
+}
+
+fn context(from_peer: bool) -> Context {
+    Context {
+        settings: Arc::new(Settings::parse("test", common::SETTINGS).unwrap()),
+        types: Arc::new(vec![common::machine_type()]),
+        peers: vec!["n1".into(), "n2".into()],
+        from_peer,
+        now_ms: 0,
+    }
+}
+
+fn unanswered() -> Event {
+    Event::Store(StoreAnswer::Committed(Outcome::Unknown))
+}
+
+fn unavailable() -> Event {
+    Event::Store(StoreAnswer::Read(Err(Unavailable)))
+}
+
+/// What a peer answers that can't take a request now.
+fn not_now() -> Event {
+    Event::Peer(Some(PeerAnswer {
+        status: 503,
+        body: b"{}".to_vec(),
+        retry_after: Some(1),
+    }))
+}
+
+/// The status, where the request is answered.
+fn status_of(effects: &[Effect]) -> Option<u16> {
+    match effects {
+        [.., Effect::Answer(answer)] => Some(answer.status()),
+        _ => None,
+    }
+}
+
+fn asks(effects: &[Effect], peer: &str) -> bool {
+    matches!(effects, [Effect::Ask(asked)] if asked == peer)
+}
+
+#[test]
+fn a_submission_without_answers_is_tried_three_times_then_handed_to_each_other_node() {
+    let body = jobs::body_of(0);
+    let (mut request, first) = Request::submission(&body, context(false));
+    let [Effect::Store(StoreCall::Commit(transaction))] = &first[..] else {
+        panic!("{first:?}");
+    };
+    for _ in 0..2 {
+        let again = request.on(unanswered());
+        let same = matches!(&again[..],
+            [Effect::Store(StoreCall::Commit(repeated))] if repeated == transaction);
+        assert!(same, "{again:?}");
+    }
+    assert!(asks(&request.on(unanswered()), "n1"));
+    assert!(asks(&request.on(Event::Peer(None)), "n2"));
+    assert_eq!(status_of(&request.on(not_now())), Some(503));
+}
+
+#[test]
+fn what_another_node_has_handed_on_is_handed_on_no_further() {
+    let body = jobs::body_of(0);
+    let (mut request, _) = Request::submission(&body, context(true));
+    (0..2).for_each(|_| drop(request.on(unanswered())));
+    assert_eq!(status_of(&request.on(unanswered())), Some(503));
+    let (mut request, _) = Request::cancellation(jobs::id_of(0), context(true));
+    assert_eq!(status_of(&request.on(unavailable())), Some(503));
+}
+
+#[test]
+fn a_leader_that_cannot_answer_now_is_no_answer() {
+    let (mut request, _) = Request::query(jobs::id_of(0), context(false));
+    let located = Located {
+        status: None,
+        leads: false,
+        leader: Some("n1".into()),
+    };
+    assert!(asks(&request.on(Event::Located(Some(located))), "n1"));
+    let reads = request.on(not_now());
+    assert!(
+        matches!(&reads[..], [Effect::Store(StoreCall::Read(_))]),
+        "{reads:?}"
+    );
+    assert!(asks(&request.on(unavailable()), "n1"));
+}
+
+#[test]
+fn an_end_on_record_is_told_to_the_controller_before_the_user() {
+    let (mut request, _) = Request::query(jobs::id_of(0), context(true));
+    let located = Located {
+        status: None,
+        leads: true,
+        leader: None,
+    };
+    let nothing = || Event::Store(StoreAnswer::Read(Ok(None)));
+    request.on(Event::Located(Some(located)));
+    request.on(nothing());
+    let mut store = common::Store::default();
+    let end = stairstage::bookkeeping::records::EndRecord::cancelled(0);
+    let key = stairstage::bookkeeping::records::end_key(&jobs::id_of(0));
+    store.values.insert(key.clone(), (end.to_value(), 1));
+    let told = request.on(Event::Store(StoreAnswer::Read(Ok(store.item(&key)))));
+    let in_order = matches!(
+        &told[..],
+        [Effect::Ended(_), Effect::Answer(Answer::Known(_))]
+    );
+    assert!(in_order, "{told:?}");
+}
--- /dev/null
+++ b/tests/requests/jobs.rs
@@ -0,0 +1,55 @@
+//! The jobs that users submit, ask about and cancel.
+
+use crate::common::submission;
+use serde_json::{json, Value};
+use stairstage::bookkeeping::records::{end_key, EndRecord};
+use stairstage::protocol::job::JobState;
+
+/// Jobs bear the numbers below this.
+pub const JOBS: u8 = 8;
+const FIRST_WAITING: u8 = 3;
+const SECOND_WAITING: u8 = 4;
+pub const FITS_NO_MACHINE: u8 = 5;
+pub const LACKS_A_FIELD: u8 = 6;
+pub const NEVER_SUBMITTED: u8 = 7;
+
+pub fn id_of(job: u8) -> String {
+    format!("req-{job}")
+}
+
+/// The job that another waits for, if any.
+pub fn needs(job: u8) -> Option<u8> {
+    match job {
+        FIRST_WAITING => Some(0),
+        SECOND_WAITING => Some(FIRST_WAITING),
+        _ => None,
+    }
+}
+
+/// Whether it may ever be accepted.
+pub fn can_run(job: u8) -> bool {
+    job < FITS_NO_MACHINE
+}
+
+/// The body of its submission.
+pub fn body_of(job: u8) -> Vec<u8> {
+    let mut body: Value = submission(&id_of(job), "sweep", "normal", 2);
+    if let Some(needed) = needs(job) {
+        body["waits_on"] = json!([id_of(needed)]);
+    }
+    match job {
+        FITS_NO_MACHINE => body["cpus"] = json!(64.0),
+        LACKS_A_FIELD => {
+            body.as_object_mut().unwrap().remove("crew");
+        }
+        _ => {}
+    }
+    body.to_string().into_bytes()
+}
+
+/// How a job has ended, as the state service says.
+pub fn recorded_end(store: &crate::common::Store, job: u8) -> Option<JobState> {
+    let item = store.item(&end_key(&id_of(job)))?;
+    let end: EndRecord = serde_json::from_value(item.value).unwrap();
+    Some(end.state)
+}
--- /dev/null
+++ b/tests/requests/leader.rs
@@ -0,0 +1,151 @@
+//! What the nodes know, and what the leader does.
+
+use crate::jobs::*;
+use crate::parts::{Fate, Leader};
+use crate::world::{name_of, World};
+use serde_json::json;
+use stairstage::bookkeeping::records::*;
+use stairstage::bookkeeping::store::Outcome;
+use stairstage::coordination::core::Core;
+use stairstage::coordination::requests::Located;
+use stairstage::protocol::job::{JobState, JobStatus};
+use stairstage::protocol::store::Transaction;
+
+impl World {
+    fn leads(&mut self, node: usize) -> Option<&mut Core> {
+        let leader = self.leader.as_mut().filter(|l| l.node == node);
+        leader.map(|l| &mut l.core)
+    }
+
+    pub fn opened(&mut self, node: usize, record: OpenRecord, version: u64) {
+        let is_over = self.nodes[node].ends.get(&record.spec.id).is_some();
+        if is_over && !record.cancelled {
+            return;
+        }
+        if let Some(core) = self.leads(node) {
+            core.job_opened(record, version, 0, 0.0);
+        }
+    }
+
+    pub fn ended(&mut self, node: usize, job: u8, state: JobState) {
+        self.nodes[node].ends.insert(&id_of(job), state);
+        if let Some(core) = self.leads(node) {
+            core.ended(&id_of(job), state, 0.0);
+        }
+    }
+
+    pub fn locate(&mut self, node: usize, job: u8) -> Located {
+        let id = id_of(job);
+        let end = self.nodes[node].ends.get(&id).map(|state| JobStatus {
+            id: id.clone(),
+            state,
+            done: 0,
+            running: 0,
+        });
+        let leader = self.nodes[node].leader.filter(|l| *l != node).map(name_of);
+        let picture = self.leads(node);
+        let leads = picture.is_some();
+        let status = end.or_else(|| picture.and_then(|core| core.status(&id)));
+        Located {
+            status,
+            leads,
+            leader,
+        }
+    }
+
+    /// A node is elected, and reads the records.
+    pub fn elect(&mut self, node: usize) {
+        let record = json!({"node": name_of(node)});
+        let transaction = Transaction::default().put(LEADER, record);
+        let token = self.store.commit(&transaction).unwrap();
+        let mut core = Core::new(self.settings.clone(), token, 0.0);
+        core.valid_until = f64::INFINITY;
+        core.recover(self.store.records(), 0, 0.0);
+        self.leader = Some(Leader { node, token, core });
+        self.nodes[node].leader = Some(node);
+    }
+
+    /// The leader's lease is over.
+    pub fn depose(&mut self) {
+        self.leader = None;
+    }
+
+    /// A node hears who leads.
+    pub fn follow(&mut self, node: usize) {
+        self.nodes[node].leader = self.leader.as_ref().map(|l| l.node);
+    }
+
+    /// The leader's watch brings the record of a job as it is now.
+    pub fn leader_hears(&mut self, job: u8) {
+        let item = self.store.item(&open_key(&id_of(job)));
+        let (Some(item), Some(leader)) = (item, &self.leader) else {
+            return;
+        };
+        let node = leader.node;
+        let record = serde_json::from_value(item.value).unwrap();
+        self.opened(node, record, item.version);
+    }
+
+    /// The leader records how a job has ended in its picture: its last task is done, or what it
+    /// needs is cancelled, or nothing of a cancelled job is left.
+    pub fn leader_ends(&mut self, job: u8, fate: Fate) {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        let (node, token) = (leader.node, leader.token);
+        let Some((transaction, end)) = self.end_of(leader, job, token) else {
+            return;
+        };
+        if self.nodes[node].refused || fate == Fate::Refused {
+            return;
+        }
+        let before = self.store.revision;
+        let outcome = self.commit(0, node, transaction, fate);
+        if end.is_some() && self.store.revision > before {
+            self.end_met_requests(job);
+        }
+        match (outcome, end) {
+            (Outcome::Applied(_), Some(state)) => self.ended(node, job, state),
+            (Outcome::Conflict(_), Some(_)) => {
+                if let Some(state) = recorded_end(&self.store, job) {
+                    self.ended(node, job, state);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// As `Core::write_end` has it.
+    fn end_of(
+        &self,
+        leader: &Leader,
+        job: u8,
+        token: u64,
+    ) -> Option<(Transaction, Option<JobState>)> {
+        let (id, needed) = (id_of(job), needs(job));
+        let state = leader.core.status(&id).map(|status| status.state);
+        let is_open = self.store.item(&open_key(&id)).is_some();
+        let needed_end = needed.map(|n| recorded_end(&self.store, n));
+        let end = match (state, needed_end) {
+            (Some(JobState::Cancelled), _) => None,
+            (_, Some(Some(JobState::Cancelled))) if is_open => Some(JobState::Cancelled),
+            (Some(_), None | Some(Some(JobState::Done))) => Some(JobState::Done),
+            _ => return None,
+        };
+        let closing = Transaction::default()
+            .version(LEADER, token)
+            .delete(open_key(&id));
+        let transaction = match end {
+            None => closing,
+            Some(state) => closing.absent(end_key(&id)).put(
+                end_key(&id),
+                EndRecord {
+                    state,
+                    at_ms: Some(0),
+                }
+                .to_value(),
+            ),
+        };
+        Some((transaction, end))
+    }
+}
--- /dev/null
+++ b/tests/requests/parts.rs
@@ -0,0 +1,81 @@
+//! What a world of nodes and their requests is made of.
+
+use crate::rules::{Kind, Question};
+use stairstage::bookkeeping::index::EndIndex;
+use stairstage::coordination::core::Core;
+use stairstage::coordination::requests::polls::Confirmation;
+use stairstage::coordination::requests::{Request, StoreCall};
+use stairstage::protocol::job::JobStatus;
+use stairstage::protocol::store::Transaction;
+
+/// What becomes of a call, or of a request that is handed to another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Answered,
+    /// Carried out, and the answer is lost.
+    AnswerLost,
+    /// Unanswered, and carried out later.
+    Late,
+    /// Unanswered, and never carried out.
+    Lost,
+    /// Refused at once.
+    Refused,
+}
+
+pub struct Node {
+    pub ends: EndIndex,
+    /// Who leads, as far as it knows.
+    pub leader: Option<usize>,
+    /// Whether the state service refuses it.
+    pub refused: bool,
+    /// Polls that wait to be confirmed.
+    pub polls: Vec<(Origin, JobStatus)>,
+    /// Transactions of it that were carried out.
+    pub applied: usize,
+}
+
+/// Who gets an answer.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    User(Question),
+    /// The request of another node that has handed it on.
+    Request(u64),
+    /// It has been given up on.
+    Nobody,
+}
+
+pub enum Machine {
+    Request(Box<Request>, Kind, Origin),
+    /// With the job that each poll asks about, and who gets its answer.
+    Confirmation(Confirmation, Vec<(u8, Origin)>),
+}
+
+/// What a machine waits for.
+pub enum Waiting {
+    Located,
+    Store(StoreCall),
+    Peer(usize),
+    /// Another node works on it.
+    Child,
+}
+
+pub struct Running {
+    pub node: usize,
+    pub job: Option<u8>,
+    pub machine: Machine,
+    pub waiting: Waiting,
+}
+
+/// A transaction that is yet to be carried out.
+pub struct LateWrite {
+    pub transaction: Transaction,
+    pub node: usize,
+    pub by: u64,
+    pub applied_before: usize,
+}
+
+pub struct Leader {
+    pub node: usize,
+    pub token: u64,
+    pub core: Core,
+}
--- /dev/null
+++ b/tests/requests/schedule.rs
@@ -0,0 +1,182 @@
+//! Generated schedules, and how one is played.
+
+use crate::jobs::{id_of, needs, recorded_end, JOBS};
+use crate::parts::Fate;
+use crate::rules::Kind;
+use crate::seen::Seen;
+use crate::world::{World, NODES};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use stairstage::protocol::job::JobState;
+use std::cell::RefCell;
+
+const SEED: u64 = 20;
+const CASES: u32 = 300;
+const STEPS: std::ops::Range<usize> = 50..300;
+/// Jobs below this number are accepted and end.
+const ENDING: u8 = 5;
+const ALL_NODES: u8 = (1 << NODES) - 1;
+
+/// What happens next.
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(Kind, u8, usize),
+    /// One of those that wait is answered, or not.
+    Advance(u8, Fate),
+    /// A node confirms its polls together.
+    Confirm(usize),
+    LateWrite(u8),
+    LeaderHears(u8),
+    LeaderEnds(u8, Fate),
+    Depose,
+    Elect(usize),
+    Follow(usize),
+    /// The state service refuses the nodes whose bits are set.
+    Refuse(u8),
+}
+
+/// How often each kind of trouble comes, in shares of one another.
+#[derive(Clone, Copy, Debug)]
+pub struct Troubles {
+    pub answer_lost: u32,
+    pub late: u32,
+    pub lost: u32,
+    pub refused: u32,
+    /// The state service refuses nodes for a while.
+    pub refusals: u32,
+    pub ends: u32,
+    pub cancellations: u32,
+    /// Whether users ask at all nodes at once whenever they are told news.
+    pub close_looks: bool,
+    /// Requests about jobs that are never accepted.
+    pub odd: u32,
+}
+
+impl Default for Troubles {
+    fn default() -> Troubles {
+        Troubles {
+            answer_lost: 2,
+            late: 2,
+            lost: 1,
+            refused: 1,
+            refusals: 1,
+            ends: 3,
+            cancellations: 4,
+            close_looks: false,
+            odd: 1,
+        }
+    }
+}
+
+/// One of the jobs that may be accepted; most requests meet at the same few.
+fn accepted_job() -> impl Strategy<Value = u8> {
+    prop_oneof![4 => 0..2u8, 1 => 2..ENDING]
+}
+
+/// None, one, or all, as bits.
+fn refused_nodes() -> impl Strategy<Value = u8> {
+    let one = (0..NODES).prop_map(|node| 1 << node);
+    prop_oneof![1 => Just(0), 2 => one, 2 => Just(ALL_NODES)]
+}
+
+impl Troubles {
+    fn fate(self) -> impl Strategy<Value = Fate> {
+        prop_oneof![
+            20 => Just(Fate::Answered),
+            self.answer_lost => Just(Fate::AnswerLost),
+            self.late => Just(Fate::Late),
+            self.lost => Just(Fate::Lost),
+            self.refused => Just(Fate::Refused),
+        ]
+    }
+
+    fn ask(self) -> impl Strategy<Value = Step> {
+        let kind = prop_oneof![
+            5 => Just(Kind::Submit),
+            6 => Just(Kind::Query),
+            self.cancellations => Just(Kind::Cancel),
+        ];
+        let job = prop_oneof![10 => accepted_job(), self.odd => ENDING..JOBS];
+        (kind, job, 0..NODES).prop_map(|(kind, job, node)| Step::Ask(kind, job, node))
+    }
+
+    fn step(self) -> impl Strategy<Value = Step> {
+        prop_oneof![
+            10 => self.ask(),
+            30 => (any::<u8>(), self.fate()).prop_map(|(pick, fate)| Step::Advance(pick, fate)),
+            3 => (0..NODES).prop_map(Step::Confirm),
+            3 => any::<u8>().prop_map(Step::LateWrite),
+            4 => accepted_job().prop_map(Step::LeaderHears),
+            self.ends => (accepted_job(), self.fate()).prop_map(|(job, fate)| Step::LeaderEnds(job, fate)),
+            1 => Just(Step::Depose),
+            2 => (0..NODES).prop_map(Step::Elect),
+            1 => (0..NODES).prop_map(Step::Follow),
+            self.refusals => refused_nodes().prop_map(Step::Refuse),
+        ]
+    }
+
+    /// Plays many schedules, and tells what has come about in them.
+    pub fn play(self) -> Seen {
+        let seen = RefCell::new(Seen::default());
+        let mut runner = TestRunner::new(ProptestConfig {
+            rng_seed: RngSeed::Fixed(SEED),
+            cases: CASES,
+            failure_persistence: None,
+            ..ProptestConfig::default()
+        });
+        let steps = prop::collection::vec(self.step(), STEPS);
+        let played = runner.run(&steps, |steps| {
+            *seen.borrow_mut() += play(&steps, self.close_looks);
+            Ok(())
+        });
+        if let Err(error) = played {
+            panic!("{error}");
+        }
+        seen.into_inner()
+    }
+}
+
+fn take(world: &mut World, step: &Step) {
+    match *step {
+        Step::Ask(kind, job, node) => world.ask(kind, job, node),
+        Step::Advance(pick, fate) => world.advance(pick, fate),
+        Step::Confirm(node) => world.confirm(node),
+        Step::LateWrite(pick) => world.late_write(pick),
+        Step::LeaderHears(job) => world.leader_hears(job),
+        Step::LeaderEnds(job, fate) => world.leader_ends(job, fate),
+        Step::Depose => world.depose(),
+        Step::Elect(node) => world.elect(node),
+        Step::Follow(node) => world.follow(node),
+        Step::Refuse(bits) => world.refuse(bits),
+    }
+}
+
+fn play(steps: &[Step], close_looks: bool) -> Seen {
+    let mut world = World::new();
+    world.close_looks = close_looks;
+    steps.iter().for_each(|step| take(&mut world, step));
+    world.settle();
+    every_accepted_job_is_known(&mut world);
+    world.seen
+}
+
+/// Once the troubles are over, every node tells of every job that was accepted.
+fn every_accepted_job_is_known(world: &mut World) {
+    for job in 0..JOBS {
+        let before = world.seen.answers(Kind::Query, 200);
+        (0..NODES).for_each(|node| world.ask(Kind::Query, job, node));
+        world.finish_all();
+        let known = world.seen.answers(Kind::Query, 200) - before;
+        if world.ledger.told(job).is_some() && !is_doomed(world, job) {
+            assert_eq!(known, NODES, "forgotten: {}", id_of(job));
+        }
+    }
+}
+
+/// Whether it needs a cancelled job, and that is not on record yet.
+fn is_doomed(world: &World, job: u8) -> bool {
+    let end = |job| recorded_end(&world.store, job);
+    let needed = needs(job);
+    end(job).is_none()
+        && needed.is_some_and(|n| end(n) == Some(JobState::Cancelled) || is_doomed(world, n))
+}
--- /dev/null
+++ b/tests/requests/world.rs
@@ -0,0 +1,430 @@
+//! Several nodes that take users' requests, the state service, and a leader whose picture lags.
+
+use crate::common::{self, Refusal, Store};
+use crate::jobs::*;
+use crate::parts::*;
+use crate::rules::{Kind, Ledger, Question, Told};
+use crate::seen::Seen;
+use stairstage::bookkeeping::index::EndIndex;
+use stairstage::bookkeeping::store::{Outcome, Unavailable};
+use stairstage::coordination::requests::polls::{self, Confirmation};
+use stairstage::coordination::requests::{
+    Answer, Context, Effect, Event, PeerAnswer, Request, StoreAnswer, StoreCall,
+};
+use stairstage::protocol::job::{JobState, JobStatus};
+use stairstage::protocol::store::Transaction;
+use stairstage::settings::Settings;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+pub const NODES: usize = 3;
+const ENDS_KEPT: usize = 3;
+
+pub struct World {
+    pub store: Store,
+    pub nodes: Vec<Node>,
+    pub ledger: Ledger,
+    pub seen: Seen,
+    /// Whether users ask at all nodes, and repeat the submission, whenever they are told news.
+    pub close_looks: bool,
+    pub leader: Option<Leader>,
+    pub settings: Arc<Settings>,
+    running: BTreeMap<u64, Running>,
+    late: Vec<LateWrite>,
+    counter: u64,
+}
+
+pub fn name_of(node: usize) -> String {
+    format!("n{node}")
+}
+
+fn number_of(name: &str) -> usize {
+    name[1..].parse().unwrap()
+}
+
+fn job_of(id: &str) -> Option<u8> {
+    id.strip_prefix("req-")?.parse().ok()
+}
+
+impl World {
+    pub fn new() -> World {
+        let node = |_| Node {
+            ends: EndIndex::new(ENDS_KEPT),
+            leader: Some(0),
+            refused: false,
+            polls: Vec::new(),
+            applied: 0,
+        };
+        let mut world = World {
+            store: Store::default(),
+            nodes: (0..NODES).map(node).collect(),
+            ledger: Ledger::default(),
+            seen: Seen::default(),
+            close_looks: false,
+            leader: None,
+            settings: Arc::new(Settings::parse("test", common::SETTINGS).unwrap()),
+            running: BTreeMap::new(),
+            late: Vec::new(),
+            counter: 0,
+        };
+        world.elect(0);
+        world
+    }
+
+    fn context(&self, node: usize, from_peer: bool) -> Context {
+        Context {
+            settings: self.settings.clone(),
+            types: Arc::new(vec![common::machine_type()]),
+            peers: (0..NODES).filter(|i| *i != node).map(name_of).collect(),
+            from_peer,
+            now_ms: 0,
+        }
+    }
+
+    /// A user sends a request to a node.
+    pub fn ask(&mut self, kind: Kind, job: u8, node: usize) {
+        if kind == Kind::Submit && job == NEVER_SUBMITTED {
+            return;
+        }
+        let question = self.ledger.asks(kind, job, node);
+        self.seen.asked(&question);
+        self.begin(kind, job, node, Origin::User(question));
+    }
+
+    fn begin(&mut self, kind: Kind, job: u8, node: usize, origin: Origin) -> u64 {
+        let context = self.context(node, !matches!(origin, Origin::User(_)));
+        let (request, effects) = match kind {
+            Kind::Submit => Request::submission(&body_of(job), context),
+            Kind::Query => Request::query(id_of(job), context),
+            Kind::Cancel => Request::cancellation(id_of(job), context),
+        };
+        let machine = Machine::Request(Box::new(request), kind, origin);
+        self.run(node, Some(job), machine, |world, key| {
+            world.request_effects(key, effects);
+        })
+    }
+
+    fn run(
+        &mut self,
+        node: usize,
+        job: Option<u8>,
+        machine: Machine,
+        first: impl FnOnce(&mut World, u64),
+    ) -> u64 {
+        self.counter += 1;
+        let key = self.counter;
+        let running = Running {
+            node,
+            job,
+            machine,
+            waiting: Waiting::Child,
+        };
+        self.running.insert(key, running);
+        first(self, key);
+        key
+    }
+
+    /// Carries out what a request asks for, up to what it waits for.
+    fn request_effects(&mut self, key: u64, effects: Vec<Effect>) {
+        for effect in effects {
+            let node = self.running[&key].node;
+            match effect {
+                Effect::Locate => self.wait(key, Waiting::Located),
+                Effect::Store(call) => self.wait(key, Waiting::Store(call)),
+                Effect::Ask(peer) => self.wait(key, Waiting::Peer(number_of(&peer))),
+                Effect::Opened(record, version) => self.opened(node, *record, version),
+                Effect::Ended(state) => {
+                    let job = self.running[&key].job.unwrap();
+                    self.ended(node, job, state);
+                }
+                Effect::Confirm(status) => {
+                    let origin = self.finish(key);
+                    self.nodes[node].polls.push((origin, status));
+                }
+                Effect::Answer(answer) => {
+                    let origin = self.finish(key);
+                    self.answer(origin, answer);
+                }
+            }
+        }
+    }
+
+    fn confirmation_effects(&mut self, key: u64, effects: Vec<polls::Effect>) {
+        for effect in effects {
+            let running = self.running.get_mut(&key).unwrap();
+            let node = running.node;
+            let Machine::Confirmation(_, polls) = &mut running.machine else {
+                panic!("not a confirmation");
+            };
+            match effect {
+                polls::Effect::Store(call) => running.waiting = Waiting::Store(call),
+                polls::Effect::Ended(poll, state) => {
+                    let job = polls[poll].0;
+                    self.ended(node, job, state);
+                }
+                polls::Effect::Answer(poll, answer) => {
+                    let origin = std::mem::replace(&mut polls[poll].1, Origin::Nobody);
+                    self.answer(origin, answer);
+                }
+            }
+        }
+    }
+
+    fn wait(&mut self, key: u64, waiting: Waiting) {
+        self.running.get_mut(&key).unwrap().waiting = waiting;
+    }
+
+    /// A request is over; returns who gets its answer.
+    fn finish(&mut self, key: u64) -> Origin {
+        let running = self.running.remove(&key).expect("runs");
+        self.seen.finished(key);
+        match running.machine {
+            Machine::Request(_, _, origin) => origin,
+            Machine::Confirmation(..) => Origin::Nobody,
+        }
+    }
+
+    fn answer(&mut self, origin: Origin, answer: Answer) {
+        let answer = PeerAnswer::from(answer);
+        match origin {
+            Origin::User(question) => self.tell(&question, &answer),
+            Origin::Request(key) => self.peer_answered(key, Some(answer)),
+            Origin::Nobody => {}
+        }
+    }
+
+    fn tell(&mut self, question: &Question, answer: &PeerAnswer) {
+        self.seen.answered(question, answer);
+        let news = self.ledger.answered(question, answer, &self.store);
+        if self.close_looks && news.is_some() {
+            (0..NODES).for_each(|node| self.ask(Kind::Query, question.job, node));
+            self.ask(Kind::Submit, question.job, (question.node + 1) % NODES);
+            if news == Some(Told::Accepted) && question.job % 2 == 0 {
+                self.ask(Kind::Cancel, question.job, (question.node + 2) % NODES);
+            }
+        }
+    }
+
+    fn peer_answered(&mut self, key: u64, answer: Option<PeerAnswer>) {
+        self.on(key, Event::Peer(answer));
+    }
+
+    fn on(&mut self, key: u64, event: Event) {
+        match (&mut self.running.get_mut(&key).unwrap().machine, event) {
+            (Machine::Request(request, ..), event) => {
+                let effects = request.on(event);
+                assert!(
+                    !effects.is_empty(),
+                    "a request goes on until it is answered"
+                );
+                self.request_effects(key, effects);
+            }
+            (Machine::Confirmation(confirmation, _), Event::Store(answer)) => {
+                let effects = confirmation.on(answer);
+                let goes_on = matches!(effects.last(), Some(polls::Effect::Store(_)));
+                self.confirmation_effects(key, effects);
+                if !goes_on {
+                    self.finish(key);
+                }
+            }
+            (Machine::Confirmation(..), event) => panic!("{event:?} for a confirmation"),
+        }
+    }
+
+    /// One of those that wait is answered, or not.
+    pub fn advance(&mut self, pick: u8, fate: Fate) {
+        let waits = |r: &&u64| !matches!(self.running[r].waiting, Waiting::Child);
+        let keys: Vec<u64> = self.running.keys().filter(waits).copied().collect();
+        if !keys.is_empty() {
+            self.resume(keys[pick as usize % keys.len()], fate);
+        }
+    }
+
+    fn resume(&mut self, key: u64, fate: Fate) {
+        let running = self.running.get_mut(&key).unwrap();
+        let (node, job) = (running.node, running.job);
+        match std::mem::replace(&mut running.waiting, Waiting::Child) {
+            Waiting::Located => {
+                let located = (fate != Fate::Refused).then(|| self.locate(node, job.unwrap()));
+                self.on(key, Event::Located(located));
+            }
+            Waiting::Store(call) => {
+                let answer = self.store_answer(key, node, call, fate);
+                self.on(key, Event::Store(answer));
+            }
+            Waiting::Peer(peer) => self.hand_on(key, peer, job.unwrap(), fate),
+            Waiting::Child => {}
+        }
+    }
+
+    fn hand_on(&mut self, key: u64, peer: usize, job: u8, fate: Fate) {
+        let Machine::Request(_, kind, _) = self.running[&key].machine else {
+            panic!("only requests are handed on");
+        };
+        match fate {
+            Fate::Answered => {
+                self.seen.handed_on += 1;
+                self.begin(kind, job, peer, Origin::Request(key));
+            }
+            Fate::AnswerLost | Fate::Late => {
+                self.begin(kind, job, peer, Origin::Nobody);
+                self.peer_answered(key, None);
+            }
+            Fate::Lost | Fate::Refused => self.peer_answered(key, None),
+        }
+    }
+
+    fn store_answer(&mut self, by: u64, node: usize, call: StoreCall, fate: Fate) -> StoreAnswer {
+        let refused = self.nodes[node].refused || fate == Fate::Refused;
+        match call {
+            StoreCall::Read(key) => {
+                let answered = fate == Fate::Answered && !refused;
+                if answered {
+                    self.seen.read(&key, node);
+                }
+                let item = answered.then(|| self.store.item(&key));
+                StoreAnswer::Read(item.ok_or(Unavailable))
+            }
+            StoreCall::Commit(_) if refused => {
+                self.seen.refused += 1;
+                StoreAnswer::Committed(Outcome::Refused)
+            }
+            StoreCall::Commit(transaction) => {
+                StoreAnswer::Committed(self.commit(by, node, transaction, fate))
+            }
+        }
+    }
+
+    pub fn commit(
+        &mut self,
+        by: u64,
+        node: usize,
+        transaction: Transaction,
+        fate: Fate,
+    ) -> Outcome {
+        match fate {
+            Fate::Answered => self.apply(node, &transaction),
+            Fate::AnswerLost => {
+                if let Outcome::Applied(_) = self.apply(node, &transaction) {
+                    self.seen.answer_lost(by, node, &transaction);
+                }
+                Outcome::Unknown
+            }
+            Fate::Late => {
+                let applied_before = self.nodes[node].applied;
+                self.late.push(LateWrite {
+                    transaction,
+                    node,
+                    by,
+                    applied_before,
+                });
+                Outcome::Unknown
+            }
+            Fate::Lost => Outcome::Unknown,
+            Fate::Refused => Outcome::Refused,
+        }
+    }
+
+    fn apply(&mut self, node: usize, transaction: &Transaction) -> Outcome {
+        let conflicts = self.store.conflicts(transaction);
+        match self.store.commit(transaction) {
+            Ok(version) => {
+                self.nodes[node].applied += usize::from(!transaction.changes.is_empty());
+                Outcome::Applied(version)
+            }
+            Err(Refusal::Conflict) => Outcome::Conflict(conflicts),
+            Err(Refusal::TooLarge) => panic!("too large: {transaction:?}"),
+        }
+    }
+
+    /// A transaction that was given up on is carried out.
+    pub fn late_write(&mut self, pick: u8) {
+        if self.late.is_empty() {
+            return;
+        }
+        let late = self.late.remove(pick as usize % self.late.len());
+        let is_newer = self.nodes[late.node].applied > late.applied_before;
+        let is_given_up = !self.running.contains_key(&late.by);
+        let applied = matches!(
+            self.apply(late.node, &late.transaction),
+            Outcome::Applied(_)
+        );
+        self.seen.late_write(applied, is_newer, is_given_up);
+    }
+
+    /// All polls that wait at a node are confirmed together.
+    pub fn confirm(&mut self, node: usize) {
+        let waiting = std::mem::take(&mut self.nodes[node].polls);
+        if waiting.is_empty() {
+            return;
+        }
+        let (origins, polls): (Vec<_>, Vec<JobStatus>) = waiting.into_iter().unzip();
+        let jobs = polls.iter().map(|status| job_of(&status.id).unwrap());
+        let asked = jobs.zip(origins).collect();
+        let (confirmation, effects) = Confirmation::begin(polls);
+        let machine = Machine::Confirmation(confirmation, asked);
+        self.run(node, None, machine, |world, key| {
+            world.confirmation_effects(key, effects);
+        });
+    }
+
+    /// All troubles end: what is under way is finished, and what was late is carried out.
+    pub fn settle(&mut self) {
+        self.close_looks = false;
+        self.nodes.iter_mut().for_each(|node| node.refused = false);
+        self.finish_all();
+        while !self.late.is_empty() {
+            self.late_write(0);
+        }
+        if self.leader.is_none() {
+            self.elect(0);
+        }
+        (0..JOBS).for_each(|job| self.leader_hears(job));
+        for job in (0..JOBS).filter(|job| needs(*job).is_some()) {
+            let needed = needs(job).and_then(|n| recorded_end(&self.store, n));
+            if needed == Some(JobState::Cancelled) {
+                self.leader_ends(job, Fate::Answered);
+            }
+        }
+        (0..NODES).for_each(|node| self.follow(node));
+    }
+
+    pub fn finish_all(&mut self) {
+        loop {
+            (0..NODES).for_each(|node| self.confirm(node));
+            let waits = |r: &&u64| !matches!(self.running[r].waiting, Waiting::Child);
+            let keys: VecDeque<u64> = self.running.keys().filter(waits).copied().collect();
+            if keys.is_empty() {
+                return;
+            }
+            for key in keys {
+                self.resume(key, Fate::Answered);
+            }
+        }
+    }
+
+    /// The state service refuses the nodes whose bits are set.
+    pub fn refuse(&mut self, bits: u8) {
+        let before = self.nodes.iter().filter(|node| node.refused).count();
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            node.refused = bits & (1 << i) != 0;
+        }
+        let after = self.nodes.iter().filter(|node| node.refused).count();
+        if (before, after) == (1, NODES) {
+            for running in self.running.values() {
+                if let Machine::Request(_, kind, _) = running.machine {
+                    self.seen.refusal_met(kind);
+                }
+            }
+        }
+    }
+
+    /// The end of a job is written; requests about it are under way.
+    pub fn end_met_requests(&mut self, job: u8) {
+        for running in self.running.values().filter(|r| r.job == Some(job)) {
+            if let Machine::Request(_, kind, _) = running.machine {
+                self.seen.end_met(kind);
+            }
+        }
+    }
+}
