Requests' schedules change the machine types, and end with every kind of request

A repeated submission that a node would refuse by its machine types met no accepted job, and nobody cancelled a cancelled job again.

--- a/tests/requests/parts.rs
+++ b/tests/requests/parts.rs
@@ -28,6 +28,8 @@
     pub leader: Option<usize>,
     /// Whether the state service refuses it.
     pub refused: bool,
+    /// Whether the cloud has told it of small machines only, which no job fits.
+    pub small_types: bool,
     /// Polls that wait to be confirmed.
     pub polls: Vec<(Origin, JobStatus)>,
     /// Transactions of it that were carried out.
--- a/tests/requests/rules.rs
+++ b/tests/requests/rules.rs
@@ -136,19 +136,27 @@
     serde_json::from_value(body["status"].clone()).expect("a state")
 }
 
-/// Nothing is told before it is on record.
+/// Nothing is told before it is on record, nor before what it needs is.
 fn is_recorded(question: &Question, state: JobState, store: &Store) {
     let end = recorded_end(store, question.job);
-    let is_open = store.item(&open_key(&id_of(question.job))).is_some();
+    let open = is_open(store, question.job);
+    if let Some(needed) = needs(question.job) {
+        let known = recorded_end(store, needed).is_some() || is_open(store, needed);
+        assert!(known, "{question:?}: {needed} was never accepted");
+    }
     match state {
         JobState::Pending | JobState::Running => {
-            assert!(end.is_some() || is_open, "{question:?}: not on record");
+            assert!(end.is_some() || open, "{question:?}: not on record");
         }
         JobState::Done => assert_eq!(end, Some(state), "not_done: {question:?}"),
         JobState::Cancelled => assert_eq!(end, Some(state), "{question:?}: not on record"),
     }
 }
 
+fn is_open(store: &Store, job: u8) -> bool {
+    store.item(&open_key(&id_of(job))).is_some()
+}
+
 fn denied(question: &Question, status: u16) {
     let known = question.before.is_some();
     assert!(!known, "forgotten: {question:?} is told {status}");
@@ -160,7 +168,8 @@
     match (question.kind, question.job) {
         (Kind::Submit, LACKS_A_FIELD) => assert_eq!(status, 400),
         (Kind::Submit, FITS_NO_MACHINE) => assert_eq!(status, 422),
-        (Kind::Submit, job) => assert!(needs(job).is_some(), "{question:?} is told {status}"),
+        // What it needs was never accepted, or the node knows of small machines only.
+        (Kind::Submit, _) => assert_eq!(status, 422),
         _ => {}
     }
 }
--- a/tests/requests/schedule.rs
+++ b/tests/requests/schedule.rs
@@ -33,6 +33,8 @@
     Follow(usize),
     /// The state service refuses the nodes whose bits are set.
     Refuse(u8),
+    /// The cloud tells a node of other machine types.
+    Types(usize, bool),
 }
 
 /// How often each kind of trouble comes, in shares of one another.
@@ -48,7 +50,7 @@
     pub cancellations: u32,
     /// Whether users ask at all nodes at once whenever they are told news.
     pub close_looks: bool,
-    /// Requests about jobs that are never accepted.
+    /// Requests about jobs that are never accepted, and changes of the machine types.
     pub odd: u32,
 }
 
@@ -111,6 +113,7 @@
             1 => Just(Step::Depose),
             2 => (0..NODES).prop_map(Step::Elect),
             1 => (0..NODES).prop_map(Step::Follow),
+            self.odd => (0..NODES, any::<bool>()).prop_map(|(node, small)| Step::Types(node, small)),
             self.refusals => refused_nodes().prop_map(Step::Refuse),
         ]
     }
@@ -148,6 +151,7 @@
         Step::Elect(node) => world.elect(node),
         Step::Follow(node) => world.follow(node),
         Step::Refuse(bits) => world.refuse(bits),
+        Step::Types(node, small) => world.nodes[node].small_types = small,
     }
 }
 
@@ -160,15 +164,21 @@
     world.seen
 }
 
-/// Once the troubles are over, every node tells of every job that was accepted.
+/// Once the troubles are over, every node tells of every job that was accepted, takes its submission
+/// again and cancels it, if it has not ended.
 fn every_accepted_job_is_known(world: &mut World) {
     for job in 0..JOBS {
-        let before = world.seen.answers(Kind::Query, 200);
-        (0..NODES).for_each(|node| world.ask(Kind::Query, job, node));
-        world.finish_all();
-        let known = world.seen.answers(Kind::Query, 200) - before;
-        if world.ledger.told(job).is_some() && !is_doomed(world, job) {
-            assert_eq!(known, NODES, "forgotten: {}", id_of(job));
+        for kind in [Kind::Query, Kind::Submit, Kind::Cancel] {
+            let told = world.ledger.told(job).is_some() && !is_doomed(world, job);
+            let before = world.seen.answers(kind, 200);
+            (0..NODES).for_each(|node| world.ask(kind, job, node));
+            world.finish_all();
+            let known = world.seen.answers(kind, 200) - before;
+            assert!(
+                !told || known == NODES,
+                "forgotten: {kind:?} {}",
+                id_of(job)
+            );
         }
     }
 }
--- a/tests/requests/world.rs
+++ b/tests/requests/world.rs
@@ -52,6 +52,7 @@
             ends: EndIndex::new(ENDS_KEPT),
             leader: Some(0),
             refused: false,
+            small_types: false,
             polls: Vec::new(),
             applied: 0,
         };
@@ -72,9 +73,13 @@
     }
 
     fn context(&self, node: usize, from_peer: bool) -> Context {
+        let mut machine_type = common::machine_type();
+        if self.nodes[node].small_types {
+            machine_type.cpus = 0.5;
+        }
         Context {
             settings: self.settings.clone(),
-            types: Arc::new(vec![common::machine_type()]),
+            types: Arc::new(vec![machine_type]),
             peers: (0..NODES).filter(|i| *i != node).map(name_of).collect(),
             from_peer,
             now_ms: 0,
@@ -371,7 +376,9 @@
     /// All troubles end: what is under way is finished, and what was late is carried out.
     pub fn settle(&mut self) {
         self.close_looks = false;
-        self.nodes.iter_mut().for_each(|node| node.refused = false);
+        for node in &mut self.nodes {
+            node.refused = false;
+        }
         self.finish_all();
         while !self.late.is_empty() {
             self.late_write(0);
