--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -150,6 +150,19 @@
     }))
 }
 
+/// This node knows nothing of the job, and another leads.
+fn located_elsewhere() -> Event {
+    Event::Located(Some(Located {
+        status: None,
+        leads: false,
+        leader: Some("n1".into()),
+    }))
+}
+
+fn reads_store(effects: &[Effect]) -> bool {
+    matches!(effects, [Effect::Store(StoreCall::Read(_))])
+}
+
 /// The status, where the request is answered.
 fn status_of(effects: &[Effect]) -> Option<u16> {
     match effects {
@@ -176,8 +189,8 @@
         assert!(same, "{again:?}");
     }
     assert!(asks(&request.on(unanswered()), "n1"));
-    assert!(asks(&request.on(Event::Peer(None)), "n2"));
-    assert_eq!(status_of(&request.on(not_now())), Some(503));
+    assert!(asks(&request.on(not_now()), "n2"));
+    assert_eq!(status_of(&request.on(Event::Peer(None))), Some(503));
 }
 
 #[test]
@@ -188,22 +201,17 @@
     assert_eq!(status_of(&request.on(unanswered())), Some(503));
     let (mut request, _) = Request::cancellation(jobs::id_of(0), context(true));
     assert_eq!(status_of(&request.on(unavailable())), Some(503));
+    let (mut request, _) = Request::query(jobs::id_of(0), context(true));
+    let reads = request.on(located_elsewhere());
+    assert!(reads_store(&reads), "{reads:?}");
 }
 
 #[test]
 fn a_leader_that_cannot_answer_now_is_no_answer() {
     let (mut request, _) = Request::query(jobs::id_of(0), context(false));
-    let located = Located {
-        status: None,
-        leads: false,
-        leader: Some("n1".into()),
-    };
-    assert!(asks(&request.on(Event::Located(Some(located))), "n1"));
+    assert!(asks(&request.on(located_elsewhere()), "n1"));
     let reads = request.on(not_now());
-    assert!(
-        matches!(&reads[..], [Effect::Store(StoreCall::Read(_))]),
-        "{reads:?}"
-    );
+    assert!(reads_store(&reads), "{reads:?}");
     assert!(asks(&request.on(unavailable()), "n1"));
 }
 
