Election: a state machine without clock or threads; the driver is the service's

Cause: the election was a blocking loop on a real clock, so that no combination of troubles could be played against it in virtual time. Change: coordination/election takes inputs with their time and names the next operation; service/election carries it out. Result: see tests/election.

--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -82,7 +82,11 @@
     }
 
     pub fn get(&self, key: &str) -> Result<Option<Item>, Unavailable> {
-        match self.noted(self.client.get(&format!("/store/{key}"), WITHIN)) {
+        self.get_within(key, WITHIN)
+    }
+
+    fn get_within(&self, key: &str, timeout: Duration) -> Result<Option<Item>, Unavailable> {
+        match self.noted(self.client.get(&format!("/store/{key}"), timeout)) {
             Answer::Response(404, _) => Ok(None),
             answer => answer.ok().map(Some).ok_or(Unavailable),
         }
@@ -90,7 +94,16 @@
 
     /// Reads a key's value as `T`; what cannot be read as such counts as absent.
     pub fn read<T: DeserializeOwned>(&self, key: &str) -> Result<Option<(T, u64)>, Unavailable> {
-        Ok(self.get(key)?.and_then(|item| {
+        self.read_within(key, WITHIN)
+    }
+
+    /// The same, for a caller that cannot wait as long as usual.
+    pub fn read_within<T: DeserializeOwned>(
+        &self,
+        key: &str,
+        timeout: Duration,
+    ) -> Result<Option<(T, u64)>, Unavailable> {
+        Ok(self.get_within(key, timeout)?.and_then(|item| {
             let value = serde_json::from_value(item.value).ok()?;
             Some((value, item.version))
         }))
@@ -118,7 +131,12 @@
     }
 
     pub fn commit(&self, transaction: &Transaction) -> Outcome {
-        match self.noted(self.client.post("/txn", transaction, WITHIN)) {
+        self.commit_within(transaction, WITHIN)
+    }
+
+    /// The same, for a caller that cannot wait as long as usual.
+    pub fn commit_within(&self, transaction: &Transaction, timeout: Duration) -> Outcome {
+        match self.noted(self.client.post("/txn", transaction, timeout)) {
             Answer::Response(200, body) => match serde_json::from_slice::<Applied>(&body) {
                 Ok(applied) => Outcome::Applied(applied.revision),
                 Err(_) => Outcome::Unknown,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,7 +1,7 @@
 //! Leadership and the scheduler.
 //!
-//! Everything but [`election`] is clock-free: it takes events with their time, and returns effects
-//! for other actors to carry out. [`core`] owns the state; [`places`] guards the invariants that the
+//! Everything here is clock-free: it takes events with their time, and returns effects for other
+//! actors to carry out. [`election`] decides who leads; [`core`] owns the state; [`places`] guards the invariants that the
 //! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`],
 //! [`pipelines`],
 //! [`deadlines`], [`backfill`], [`placement`], [`predict`], [`fleet`], [`retiring`] and [`health`]
--- a/src/service/controller.rs
+++ b/src/service/controller.rs
@@ -11,7 +11,7 @@
 use crate::bookkeeping::store::Store;
 use crate::coordination::cancellations::{CancellationEvidence, PeerAnswer};
 use crate::coordination::core::{Core, Effect, Heard};
-use crate::coordination::election::{News, Wish};
+use crate::coordination::election::{ElectionEvent, ElectionRequest};
 use crate::coordination::recovery::Records;
 use crate::coordination::redirects::Redirects;
 use crate::coordination::requests::Located;
@@ -67,7 +67,7 @@
     pub peers: Peers,
     pub inbox: Sender<Message>,
     pub stage: Sender<Task>,
-    pub wishes: Sender<Wish>,
+    pub election_requests: Sender<ElectionRequest>,
     pub pool: Pool,
     /// The cancellations that this process has confirmed, and the way to those of the others.
     pub cancellations: CancellationLog,
@@ -213,8 +213,7 @@
             self.carry_out(effect);
         }
         if deposed {
-            self.step_down();
-            let _ = self.links.wishes.try_send(Wish::Resign);
+            self.resign();
         }
     }
 
@@ -246,8 +245,7 @@
         };
         if hands_over {
             warn!("no worker reports here, peers: {reachability:?}; hands leadership over");
-            self.step_down();
-            let _ = self.links.wishes.try_send(Wish::Resign);
+            self.resign();
         }
     }
 
@@ -258,6 +256,17 @@
         respond(Reply::json(if hears { 200 } else { 404 }, &()));
     }
 
+    fn request(&self, request: ElectionRequest) {
+        let _ = self.links.election_requests.try_send(request);
+    }
+
+    /// Leads no more, and lets another node have the leadership.
+    fn resign(&mut self) {
+        let term = self.term.load(Ordering::Relaxed);
+        self.step_down();
+        self.request(ElectionRequest::Resign { term });
+    }
+
     fn step_down(&mut self) {
         info!("leads no more");
         self.role = Role::Follower;
@@ -276,7 +285,8 @@
             Effect::Rent(rent) => self.links.pool.cloud(CloudCall::Rent(rent)),
             Effect::Return(names) => self.links.pool.cloud(CloudCall::Return(names)),
             Effect::RaiseToken => {
-                let _ = self.links.wishes.try_send(Wish::RaiseToken);
+                let term = self.term.load(Ordering::Relaxed);
+                self.request(ElectionRequest::RaiseToken { term });
             }
             Effect::Ended { id, state } => self.ends.insert(&id, state),
             Effect::FindEnds(ids) => self.find_ends(ids),
@@ -306,7 +316,7 @@
     fn take(&mut self, message: Message) {
         let now = self.now();
         match message {
-            Message::News(news) => self.news(news),
+            Message::Election(event) => self.election_event(event),
             Message::Report {
                 report,
                 body,
@@ -384,19 +394,19 @@
         }
     }
 
-    fn news(&mut self, news: News) {
-        match news {
-            News::Leader(leader) => {
+    fn election_event(&mut self, event: ElectionEvent) {
+        match event {
+            ElectionEvent::Leader(leader) => {
                 if leader != self.leader {
                     debug!("leader: {leader:?}");
                 }
                 self.leader = leader;
             }
-            // An election that was over before the news of it came through.
-            News::Elected { token } if token < self.promised => {
-                let _ = self.links.wishes.try_send(Wish::Resign);
+            // An election that was over before this node learned of it.
+            ElectionEvent::Elected { token } if token < self.promised => {
+                self.request(ElectionRequest::Resign { term: token });
             }
-            News::Elected { token } => {
+            ElectionEvent::Elected { token } => {
                 info!("elected with token {token}");
                 self.leader = Some(self.settings.name.clone());
                 self.role = Role::Recovering {
@@ -407,18 +417,18 @@
                 self.term.store(token, Ordering::Relaxed);
                 self.load(token);
             }
-            News::Lease { valid_until: until } => match &mut self.role {
+            ElectionEvent::Lease { valid_until: until } => match &mut self.role {
                 Role::Recovering { valid_until, .. } => *valid_until = until,
                 Role::Leading(core) => core.valid_until = until,
                 Role::Follower => {}
             },
-            News::TokenRaised(token) => {
+            ElectionEvent::TokenRaised(token) => {
                 let now = self.now();
                 if let Some(core) = self.core() {
                     core.token_raised(token, now);
                 }
             }
-            News::Deposed => {
+            ElectionEvent::Deposed => {
                 if !matches!(self.role, Role::Follower) {
                     self.step_down();
                 }
@@ -438,7 +448,7 @@
         };
         if let Err(error) = super::spawn("records", move || reader.run()) {
             warn!("{error:#}");
-            let _ = self.links.wishes.try_send(Wish::Resign);
+            self.request(ElectionRequest::Resign { term: token });
         }
     }
 
@@ -452,8 +462,7 @@
         let promised = token >= ours;
         self.promised = self.promised.max(token);
         if promised && ours > 0 {
-            self.step_down();
-            let _ = self.links.wishes.try_send(Wish::Resign);
+            self.resign();
         }
         let status = if promised { 200 } else { 409 };
         respond(Reply::json(status, &()));
--- /dev/null
+++ b/src/service/election.rs
@@ -0,0 +1,92 @@
+//! Carries out the operations of an [`Election`], on a thread of its own.
+
+use crate::bookkeeping::records::{LeaderRecord, LEADER};
+use crate::bookkeeping::store::{Store, Unavailable};
+use crate::coordination::election::{
+    CurrentLeader, Election, ElectionEvent, ElectionRequest, Input, Operation,
+};
+use crate::coordination::Time;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use std::time::{Duration, Instant};
+
+/// Requests that may wait. The controller has at most three for each term.
+const MOST_REQUESTS: usize = 16;
+
+/// The channel by which the controller speaks to the election.
+pub fn requests() -> (Sender<ElectionRequest>, Receiver<ElectionRequest>) {
+    crossbeam::channel::bounded(MOST_REQUESTS)
+}
+
+pub struct ElectionDriver {
+    pub election: Election,
+    pub store: Store,
+    /// The zero of the clock by which the controller reads the lease's end.
+    pub epoch: Instant,
+    pub notify: Box<dyn Fn(ElectionEvent) + Send>,
+    pub requests: Receiver<ElectionRequest>,
+}
+
+impl ElectionDriver {
+    /// Goes on until the controller is gone.
+    pub fn run(mut self) {
+        let mut step = self.election.start();
+        loop {
+            for event in step.events {
+                (self.notify)(event);
+            }
+            let Some(input) = self.carry_out(step.operation) else {
+                return;
+            };
+            step = self.election.handle(input, self.now());
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.epoch.elapsed().as_secs_f64()
+    }
+
+    /// `None` when the controller is gone.
+    fn carry_out(&self, operation: Operation) -> Option<Input> {
+        Some(match operation {
+            Operation::Read { timeout } => Input::Read(self.read(timeout)),
+            Operation::Watch { after, hold } => {
+                Input::Watched(self.store.watch(LEADER, after, hold))
+            }
+            Operation::Grant { life } => Input::Granted(self.store.grant(life)),
+            Operation::Commit {
+                transaction,
+                timeout: None,
+            } => Input::Committed(self.store.commit(&transaction)),
+            Operation::Commit {
+                transaction,
+                timeout: Some(timeout),
+            } => Input::Committed(self.store.commit_within(&transaction, timeout)),
+            Operation::Renew { lease, timeout } => Input::Renewed(self.store.renew(lease, timeout)),
+            Operation::Release { lease } => {
+                self.store.release(lease);
+                Input::Released
+            }
+            Operation::Wait { until } => return self.wait(until),
+        })
+    }
+
+    fn read(&self, timeout: Option<Duration>) -> Result<Option<CurrentLeader>, Unavailable> {
+        let read = match timeout {
+            Some(timeout) => self.store.read_within::<LeaderRecord>(LEADER, timeout)?,
+            None => self.store.read::<LeaderRecord>(LEADER)?,
+        };
+        Ok(read.map(|(record, version)| CurrentLeader {
+            node: record.node,
+            version,
+        }))
+    }
+
+    fn wait(&self, until: Time) -> Option<Input> {
+        let deadline = self.epoch + Duration::from_secs_f64(until);
+        match self.requests.recv_deadline(deadline) {
+            Ok(request) => Some(Input::Requested(request)),
+            Err(RecvTimeoutError::Timeout) => Some(Input::Elapsed),
+            Err(RecvTimeoutError::Disconnected) => None,
+        }
+    }
+}
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -3,7 +3,7 @@
 use crate::bookkeeping::records::{EndRecord, OpenRecord};
 use crate::coordination::cancellations::PeerAnswer;
 use crate::coordination::core::{Ordered, Written};
-use crate::coordination::election::News;
+use crate::coordination::election::ElectionEvent;
 use crate::coordination::recovery::Records;
 use crate::coordination::requests::Located;
 use crate::coordination::state::Name;
@@ -16,7 +16,7 @@
 
 /// An event for the controller.
 pub enum Message {
-    News(News),
+    Election(ElectionEvent),
     Report {
         report: Box<Report>,
         body: Vec<u8>,
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -5,6 +5,7 @@
 //! does not fit is answered at once.
 
 pub mod controller;
+pub mod election;
 pub mod end_notifier;
 pub mod gateway;
 mod isolation;
@@ -16,7 +17,7 @@
 
 use crate::bookkeeping::cancellations::CancellationLog;
 use crate::bookkeeping::store::Store;
-use crate::coordination::election::{self, Election};
+use crate::coordination::election::Election;
 use crate::settings::Settings;
 use crate::transport::front::{self, Bounds, Call};
 use crate::transport::peers::{PeerCall, Peers};
@@ -25,6 +26,7 @@
 use anyhow::Context;
 use controller::{Controller, Links};
 use crossbeam::channel::bounded;
+use election::ElectionDriver;
 use end_notifier::EndNotifier;
 use gateway::{Gateway, SharedTypes, Task};
 use messages::Message;
@@ -94,21 +96,20 @@
     .context("cannot listen for peers")?;
 
     let store = Store::new(settings.endpoints.state, GATEWAYS);
-    let (wishes, wished) = election::wishes();
+    let (election_requests, requests) = election::requests();
     let report_s = settings.cluster.workers.report_s;
     let lease_s = (settings.policy.leader_lease * report_s)
         .min(settings.cluster.workers.lease_s / 4.0)
         .max(0.2);
-    let news_inbox = inbox.clone();
-    let election = Election {
+    let event_inbox = inbox.clone();
+    let election = ElectionDriver {
+        election: Election::new(settings.name.clone(), Duration::from_secs_f64(lease_s)),
         store: store.clone(),
-        node: settings.name.clone(),
-        lease: Duration::from_secs_f64(lease_s),
         epoch,
-        news: Box::new(move |news| {
-            let _ = news_inbox.send(Message::News(news));
+        notify: Box::new(move |event| {
+            let _ = event_inbox.send(Message::Election(event));
         }),
-        wishes: wished,
+        requests,
     };
     spawn("election", move || election.run())?;
 
@@ -148,7 +149,7 @@
         peers: peers.clone(),
         inbox: inbox.clone(),
         stage: stage.clone(),
-        wishes,
+        election_requests,
         pool,
         cancellations,
         cancellation_queries,
--- /dev/null
+++ b/tests/common/lease_store.rs
@@ -0,0 +1,217 @@
+//! A model of the state service in virtual time: keys, versions, conditions and leases, as the
+//! protocol describes them.
+
+use serde_json::Value;
+use stairstage::bookkeeping::records::{LeaderRecord, LEADER};
+use stairstage::bookkeeping::store::{Outcome, Renewal};
+use stairstage::coordination::election::CurrentLeader;
+use stairstage::protocol::store::{Change, Event, Events, Transaction};
+use std::collections::BTreeMap;
+
+/// Real time in microseconds.
+pub type Micros = u64;
+
+pub const SECOND: Micros = 1_000_000;
+/// A lease ends late by at most this.
+pub const LATEST_END: Micros = SECOND / 10;
+
+/// Pseudo-random numbers that depend on nothing but a seed.
+pub struct Random(u64);
+
+impl Random {
+    pub fn new(seed: u64) -> Random {
+        Random(seed)
+    }
+
+    /// SplitMix64.
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// A number from `low` to `high`, both included.
+    pub fn between(&mut self, low: u64, high: u64) -> u64 {
+        low + self.next() % (high - low + 1)
+    }
+
+    pub fn chance(&mut self, share: f64) -> bool {
+        (self.between(0, 999_999) as f64) < share * 1e6
+    }
+}
+
+struct StoredKey {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+struct Lease {
+    life: Micros,
+    ends_at: Micros,
+}
+
+pub struct LeaseStore {
+    revision: u64,
+    keys: BTreeMap<String, StoredKey>,
+    leases: BTreeMap<u64, Lease>,
+    leader_changes: Vec<Event>,
+    /// Which node wrote each version of the leader's record.
+    pub leader_versions: BTreeMap<u64, String>,
+    pub outage: bool,
+    random: Random,
+    latest_end: Micros,
+}
+
+impl LeaseStore {
+    /// Leases end late by up to `latest_end`.
+    pub fn new(seed: u64, latest_end: Micros) -> LeaseStore {
+        LeaseStore {
+            revision: 0,
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            leader_changes: Vec::new(),
+            leader_versions: BTreeMap::new(),
+            outage: false,
+            random: Random::new(seed),
+            latest_end,
+        }
+    }
+
+    /// When the next lease ends; none does during an outage.
+    pub fn next_lease_end(&self) -> Option<Micros> {
+        let ends = self.leases.values().map(|lease| lease.ends_at);
+        ends.min().filter(|_| !self.outage)
+    }
+
+    pub fn expire(&mut self, now: Micros) {
+        if self.outage {
+            return;
+        }
+        let over = |(id, lease): (&u64, &Lease)| (lease.ends_at <= now).then_some(*id);
+        let ended: Vec<u64> = self.leases.iter().filter_map(over).collect();
+        for lease in ended {
+            self.release(lease);
+        }
+    }
+
+    pub fn end_outage(&mut self, now: Micros) {
+        self.outage = false;
+        for lease in self.leases.values_mut() {
+            lease.ends_at = now + lease.life + self.random.between(0, self.latest_end);
+        }
+    }
+
+    pub fn grant(&mut self, life: Micros, now: Micros) -> u64 {
+        self.revision += 1;
+        let ends_at = now + life + self.random.between(0, self.latest_end);
+        self.leases.insert(self.revision, Lease { life, ends_at });
+        self.revision
+    }
+
+    pub fn renew(&mut self, lease: u64, now: Micros) -> Renewal {
+        let Some(lease) = self.leases.get_mut(&lease) else {
+            return Renewal::Over;
+        };
+        lease.ends_at = now + lease.life + self.random.between(0, self.latest_end);
+        Renewal::Renewed
+    }
+
+    /// Ends a lease, and removes what is attached to it.
+    pub fn release(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let attached = |(key, stored): (&String, &StoredKey)| {
+            (stored.lease == Some(lease)).then(|| key.clone())
+        };
+        let keys: Vec<String> = self.keys.iter().filter_map(attached).collect();
+        for key in keys {
+            self.revision += 1;
+            self.keys.remove(&key);
+            self.note_change(&key, None);
+        }
+    }
+
+    pub fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |stored| stored.version)
+    }
+
+    pub fn leader(&self) -> Option<CurrentLeader> {
+        let stored = self.keys.get(LEADER)?;
+        let record: LeaderRecord = serde_json::from_value(stored.value.clone()).unwrap();
+        Some(CurrentLeader {
+            node: record.node,
+            version: stored.version,
+        })
+    }
+
+    pub fn commit(&mut self, transaction: &Transaction) -> Outcome {
+        let lease_of = |change: &Change| match change {
+            Change::Put { lease, .. } => *lease,
+            Change::Delete { .. } => None,
+        };
+        let mut leases = transaction.changes.iter().filter_map(lease_of);
+        if leases.any(|lease| !self.leases.contains_key(&lease)) {
+            return Outcome::NoLease;
+        }
+        let conditions = transaction.conditions.iter();
+        let failed: Vec<String> = conditions
+            .filter(|condition| self.version(&condition.key) != condition.version)
+            .map(|condition| condition.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Outcome::Conflict(failed);
+        }
+        self.revision += 1;
+        for change in &transaction.changes {
+            self.apply(change);
+        }
+        Outcome::Applied(self.revision)
+    }
+
+    fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Put { key, value, lease } => {
+                let stored = StoredKey {
+                    value: value.clone(),
+                    version: self.revision,
+                    lease: *lease,
+                };
+                self.keys.insert(key.clone(), stored);
+                self.note_change(key, Some(value.clone()));
+            }
+            Change::Delete { key } => {
+                self.keys.remove(key);
+                self.note_change(key, None);
+            }
+        }
+    }
+
+    fn note_change(&mut self, key: &str, value: Option<Value>) {
+        if key != LEADER {
+            return;
+        }
+        if let Some(leader) = self.leader() {
+            self.leader_versions.insert(leader.version, leader.node);
+        }
+        self.leader_changes.push(Event {
+            put: value.is_some().then(|| key.to_string()),
+            delete: value.is_none().then(|| key.to_string()),
+            value: value.unwrap_or_default(),
+            version: self.revision,
+        });
+    }
+
+    /// The changes of the leader's record after a revision.
+    pub fn leader_changes_after(&self, revision: u64) -> Events {
+        let changes = self.leader_changes.iter();
+        Events {
+            revision: self.revision,
+            events: changes
+                .filter(|change| change.version > revision)
+                .cloned()
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/election.rs
@@ -0,0 +1,353 @@
+//! Elections of several nodes in virtual time: generated schedules of troubles, and combinations of
+//! troubles by name.
+
+#[path = "common/election_cluster.rs"]
+mod election_cluster;
+#[path = "common/lease_store.rs"]
+mod lease_store;
+
+use election_cluster::Cluster;
+use lease_store::{Micros, LATEST_END, SECOND};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const LEASE: Micros = 16 * SECOND / 10;
+/// Leases after which somebody leads again: a watch whose connection was lost is held open for four.
+const RECOVERY: Micros = 7 * LEASE;
+const SEED: u64 = 7;
+
+/// All requests that may meet a trouble do.
+fn cluster() -> Cluster {
+    Cluster::new(LEASE, LATEST_END, 1.0, SEED)
+}
+
+fn led_cluster() -> (Cluster, usize) {
+    let mut cluster = cluster();
+    let leader = cluster.run_until_led(None, LEASE);
+    (cluster, leader)
+}
+
+/// After the troubles there is a leader, which stays and knows its token.
+fn assert_recovers(cluster: &mut Cluster) {
+    cluster.heal();
+    cluster.run_for(RECOVERY);
+    let leader = cluster.leader().expect("somebody leads again");
+    for _ in 0..30 {
+        cluster.run_for(LEASE / 10);
+        assert_eq!(cluster.leader(), Some(leader), "the leader stays");
+    }
+    let record = cluster.store.leader().expect("the record of the leader");
+    assert_eq!(cluster.valid_token(leader), Some(record.version));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Restart(usize, Micros),
+    RestartAll(Micros),
+    Pause(usize, Micros),
+    Refuse(usize, Micros),
+    Cut(usize, Micros),
+    LoseAnswers(usize, Micros),
+    DelayCommits(usize, Micros),
+    SlowController(usize, Micros),
+    Outage(Micros),
+    LeaderRefusedThenAll(Micros),
+    RestartLeader(Micros),
+    PauseLeader(Micros),
+    Resign,
+    RaiseToken,
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    use Trouble::*;
+    let node = 0..3usize;
+    let brief = SECOND / 20..SECOND;
+    let long = SECOND / 2..5 * LEASE;
+    let either = || prop_oneof![brief.clone(), long.clone()];
+    prop_oneof![
+        (node.clone(), either()).prop_map(|(node, time)| Restart(node, time)),
+        either().prop_map(RestartAll),
+        (node.clone(), either()).prop_map(|(node, time)| Pause(node, time)),
+        (node.clone(), either()).prop_map(|(node, time)| Refuse(node, time)),
+        (node.clone(), either()).prop_map(|(node, time)| Cut(node, time)),
+        (node.clone(), long.clone()).prop_map(|(node, time)| LoseAnswers(node, time)),
+        (node.clone(), long.clone()).prop_map(|(node, time)| DelayCommits(node, time)),
+        (node, long.clone()).prop_map(|(node, time)| SlowController(node, time)),
+        either().prop_map(Outage),
+        long.clone().prop_map(LeaderRefusedThenAll),
+        either().prop_map(RestartLeader),
+        either().prop_map(PauseLeader),
+        Just(Resign),
+        Just(RaiseToken),
+        Just(RaiseToken),
+    ]
+}
+
+fn apply(cluster: &mut Cluster, trouble: Trouble) {
+    match trouble {
+        Trouble::Restart(node, time) => cluster.restart(node, time),
+        Trouble::RestartAll(time) => restart_all(cluster, time),
+        Trouble::Pause(node, time) => cluster.pause(node, time),
+        Trouble::Refuse(node, time) => cluster.refuse(node, time),
+        Trouble::Cut(node, time) => cluster.cut(node, time),
+        Trouble::LoseAnswers(node, time) => cluster.lose_answers(node, time),
+        Trouble::DelayCommits(node, time) => cluster.delay_commits(node, time),
+        Trouble::SlowController(node, time) => cluster.slow_controller(node, time),
+        Trouble::Outage(time) => cluster.begin_outage(time),
+        trouble => {
+            if let Some(leader) = cluster.leader() {
+                apply_to_leader(cluster, trouble, leader);
+            }
+        }
+    }
+}
+
+fn apply_to_leader(cluster: &mut Cluster, trouble: Trouble, leader: usize) {
+    match trouble {
+        Trouble::LeaderRefusedThenAll(time) => {
+            cluster.refuse(leader, time);
+            cluster.run_for(SECOND);
+            cluster.begin_outage(time);
+        }
+        Trouble::RestartLeader(time) => cluster.restart(leader, time),
+        Trouble::PauseLeader(time) => cluster.pause(leader, time),
+        Trouble::Resign => cluster.resign(leader),
+        Trouble::RaiseToken => cluster.raise_token(leader),
+        other => unreachable!("{other:?} is not the leader's alone"),
+    }
+}
+
+fn restart_all(cluster: &mut Cluster, away: Micros) {
+    for node in 0..cluster.nodes() {
+        cluster.restart(node, away);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_schedule_breaks_the_election(
+        seed in any::<u64>(),
+        schedule in prop::collection::vec((trouble(), 0..2 * LEASE), 5..40),
+    ) {
+        let mut cluster = Cluster::new(LEASE, LATEST_END, 0.5, seed);
+        for (trouble, pause) in schedule {
+            apply(&mut cluster, trouble);
+            cluster.run_for(pause);
+        }
+        assert_recovers(&mut cluster);
+    }
+}
+
+#[test]
+fn leaders_change_ten_times_in_two_minutes() {
+    let (mut cluster, mut leader) = led_cluster();
+    for change in 0..10 {
+        if change == 4 {
+            cluster.begin_outage(10 * SECOND);
+        }
+        let token = cluster.valid_token(leader);
+        cluster.restart(leader, 5 * SECOND);
+        // During the outage the node is back before its lease is over, and may lead a new term.
+        cluster.run_for(SECOND / 100);
+        leader = cluster.run_until_led(None, 12 * SECOND);
+        assert!(cluster.valid_token(leader) > token);
+    }
+    assert!(cluster.now <= 120 * SECOND);
+    assert!(cluster.elections > 10, "{} elections", cluster.elections);
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn a_leader_that_ends_inside_an_outage_leads_again_or_is_followed() {
+    let (mut cluster, leader) = led_cluster();
+    cluster.begin_outage(10 * LEASE);
+    for _ in 0..10 {
+        cluster.restart(leader, SECOND / 4);
+        cluster.run_for(LEASE);
+    }
+    cluster.run_until_led(None, LEASE);
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn controllers_hand_over_and_back_then_all_end_and_one_returns() {
+    for away in [SECOND / 4, SECOND, 3 * LEASE] {
+        let (mut cluster, first) = led_cluster();
+        cluster.resign(first);
+        let second = cluster.run_until_led(Some(first), LEASE);
+        cluster.run_for(2 * LEASE);
+        cluster.resign(second);
+        cluster.run_until_led(Some(second), LEASE);
+        for node in 0..cluster.nodes() {
+            cluster.restart(node, if node == first { away } else { 8 * LEASE });
+        }
+        cluster.run_for(away);
+        assert_eq!(cluster.run_until_led(None, 2 * LEASE), first);
+        assert_recovers(&mut cluster);
+    }
+}
+
+#[test]
+fn all_controllers_are_away_for_longer_than_a_workers_lease() {
+    let (mut cluster, _) = led_cluster();
+    restart_all(&mut cluster, 8 * LEASE);
+    cluster.run_for(8 * LEASE);
+    cluster.run_until_led(None, LEASE);
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn the_leader_is_refused_alone_and_then_everybody() {
+    let (mut cluster, leader) = led_cluster();
+    cluster.refuse(leader, 20 * LEASE);
+    cluster.run_for(SECOND);
+    cluster.begin_outage(10 * LEASE);
+    cluster.run_for(10 * LEASE);
+    cluster.run_until_led(Some(leader), 2 * LEASE);
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn a_campaign_whose_answer_is_lost_is_won_within_a_lease() {
+    let mut cluster = cluster();
+    for node in 0..cluster.nodes() {
+        cluster.lose_answers(node, SECOND / 10);
+    }
+    cluster.run_until_led(None, 2 * LEASE);
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn a_campaign_that_is_carried_out_late_leads_nobody() {
+    let (mut cluster, leader) = led_cluster();
+    for node in 0..cluster.nodes() {
+        cluster.delay_commits(node, 2 * LEASE);
+    }
+    cluster.restart(leader, SECOND / 4);
+    cluster.run_for(2 * LEASE);
+    // Neither does one of a process that has ended meanwhile.
+    restart_all(&mut cluster, SECOND / 4);
+    cluster.run_until_led(None, 3 * LEASE);
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn a_restarted_leader_campaigns_against_its_own_record() {
+    for away in [SECOND / 20, SECOND / 4] {
+        let (mut cluster, leader) = led_cluster();
+        let token = cluster.valid_token(leader);
+        cluster.restart(leader, away);
+        cluster.run_for(away + LEASE / 4);
+        assert_eq!(cluster.leader(), Some(leader), "before its lease is over");
+        assert!(cluster.valid_token(leader) > token);
+    }
+}
+
+/// The token rises in the same term: the leader loses neither its lease nor a write.
+fn assert_raises_token(mut cluster: Cluster, leader: usize) {
+    let token = cluster.valid_token(leader);
+    cluster.raise_token(leader);
+    cluster.run_for(20 * LEASE);
+    assert_eq!(cluster.leader(), Some(leader));
+    assert!(cluster.valid_token(leader) > token);
+    assert_eq!((cluster.elections, cluster.deposed_by_conflict), (1, 0));
+    assert_recovers(&mut cluster);
+}
+
+#[test]
+fn a_raised_token_whose_answer_is_lost_is_noticed() {
+    let (mut cluster, leader) = led_cluster();
+    cluster.lose_answers(leader, 5 * LEASE);
+    assert_raises_token(cluster, leader);
+}
+
+#[test]
+fn a_raised_token_that_is_carried_out_late_is_noticed() {
+    let (mut cluster, leader) = led_cluster();
+    cluster.delay_commits(leader, SECOND / 2);
+    assert_raises_token(cluster, leader);
+}
+
+#[test]
+fn a_raised_token_survives_an_outage_that_hides_its_outcome() {
+    for late in [false, true] {
+        let (mut cluster, leader) = led_cluster();
+        match late {
+            false => cluster.lose_answers(leader, LEASE / 8),
+            true => cluster.delay_commits(leader, LEASE / 8),
+        }
+        let token = cluster.valid_token(leader);
+        cluster.raise_token(leader);
+        cluster.run_for(SECOND / 10);
+        cluster.begin_outage(5 * LEASE);
+        cluster.run_for(15 * LEASE);
+        assert_eq!(cluster.leader(), Some(leader));
+        assert!(cluster.valid_token(leader) > token);
+        assert_eq!((cluster.elections, cluster.deposed_by_conflict), (1, 0));
+    }
+}
+
+#[test]
+fn a_leader_that_stands_still_has_lost_its_lease_when_it_goes_on() {
+    let (mut cluster, leader) = led_cluster();
+    cluster.pause(leader, 4 * LEASE);
+    let next = cluster.run_until_led(Some(leader), 2 * LEASE);
+    cluster.run_for(6 * LEASE);
+    assert_eq!(cluster.leader(), Some(next));
+}
+
+#[test]
+fn a_node_that_stands_still_in_its_campaign_leads_nobody() {
+    for moment in 0..40 {
+        let mut cluster = cluster();
+        cluster.run_for(moment * SECOND / 2000);
+        for node in 1..cluster.nodes() {
+            cluster.restart(node, LEASE / 2);
+        }
+        cluster.pause(0, LEASE - LATEST_END + moment * SECOND / 100);
+        cluster.run_for(3 * LEASE);
+        assert_recovers(&mut cluster);
+    }
+}
+
+#[test]
+fn the_slowest_clock_does_not_outlast_a_long_lease() {
+    const LONG_LEASE: Micros = 100 * SECOND;
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(LONG_LEASE, 0, 1.0, seed);
+        let leader = cluster.run_until_led(None, LONG_LEASE);
+        cluster.refuse(leader, 3 * LONG_LEASE);
+        cluster.run_until_led(Some(leader), 2 * LONG_LEASE);
+    }
+}
+
+#[test]
+fn what_a_slow_controller_asks_in_an_earlier_term_has_no_effect() {
+    for asks_for_token in [false, true] {
+        let (mut cluster, leader) = led_cluster();
+        for node in (0..cluster.nodes()).filter(|node| *node != leader) {
+            cluster.restart(node, 20 * LEASE);
+        }
+        // The lease ends; the node is elected again before its controller learns that it was deposed.
+        cluster.pause(leader, 2 * LEASE);
+        cluster.slow_controller(leader, 3 * LEASE);
+        cluster.run_for(2 * LEASE + SECOND / 2);
+        match asks_for_token {
+            false => cluster.resign(leader),
+            true => cluster.raise_token(leader),
+        }
+        cluster.run_for(SECOND);
+        for _ in 0..40 {
+            cluster.run_for(LEASE / 10);
+            assert_eq!(cluster.leader(), Some(leader), "the later term goes on");
+        }
+        assert_eq!((cluster.elections, cluster.deposed_by_conflict), (2, 0));
+    }
+}
