--- /dev/null
+++ b/tests/play/main.rs
@@ -0,0 +1,15 @@
+//! Simulated days of the scheduler in virtual time: generated loads and troubles, and the rules that
+//! are checked at the end of a day.
+
+mod cancellations;
+#[path = "../common/mod.rs"]
+mod common;
+mod guests;
+mod leaders;
+mod overload;
+mod rules;
+mod services;
+mod simulation;
+mod state_service;
+mod worker;
+mod workload;
--- a/tests/play.rs
+++ b/tests/play/overload.rs
@@ -1,9 +1,7 @@
 //! A clock-free play of the scheduler over generated loads: more work than room, floods of small
 //! jobs, deadlines that cannot be met. Everybody is served, and the largest begin in time.
 
-mod common;
-
-use common::*;
+use crate::common::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::json;
--- /dev/null
+++ b/tests/play/worker.rs
@@ -0,0 +1,227 @@
+//! A simulated machine with its worker.
+
+use crate::workload::JobPlan;
+use stairstage::protocol::job::parse_task;
+use stairstage::protocol::worker::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long a fetch of an image takes, and how long a task runs before it fails.
+const FETCH_S: f64 = 1.0;
+const FAILS_AFTER_S: f64 = 1.0;
+
+#[derive(Clone, Debug)]
+pub struct OnWorker {
+    pub state: TaskState,
+    pub cause: Option<Cause>,
+    /// When its present state is over: its fetch, its wait for a gang or its run.
+    pub until: f64,
+    pub cpus: f64,
+    pub gang: bool,
+}
+
+impl OnWorker {
+    pub fn is_live(&self) -> bool {
+        self.state != TaskState::Exited
+    }
+
+    pub fn exit(&mut self, cause: Cause) {
+        self.state = TaskState::Exited;
+        self.cause = Some(cause);
+    }
+}
+
+pub struct Worker {
+    pub name: String,
+    pub kind: String,
+    pub zone: String,
+    pub cpus: f64,
+    pub rented_s: f64,
+    pub up_s: f64,
+    session: u64,
+    seq: u64,
+    pub token: u64,
+    renewed: f64,
+    /// By task and attempt.
+    pub tasks: BTreeMap<(String, u64), OnWorker>,
+    images: BTreeSet<String>,
+    /// Results of tasks that completed here: started again, they exit at once.
+    results: BTreeSet<String>,
+    /// Cut off from every controller until then.
+    pub cut_until: f64,
+    /// Every task fails on it.
+    pub faulty: bool,
+}
+
+impl Worker {
+    pub fn new(name: String, kind: &str, zone: &str, cpus: f64, rented_s: f64, up_s: f64) -> Self {
+        Worker {
+            name,
+            kind: kind.into(),
+            zone: zone.into(),
+            cpus,
+            rented_s,
+            up_s,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: up_s,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            results: BTreeSet::new(),
+            cut_until: 0.0,
+            faulty: false,
+        }
+    }
+
+    pub fn is_up(&self, now: f64) -> bool {
+        now >= self.up_s
+    }
+
+    pub fn is_reachable(&self, now: f64) -> bool {
+        self.is_up(now) && now >= self.cut_until
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = (&(String, u64), &OnWorker)> {
+        self.tasks.iter().filter(|(_, t)| t.is_live())
+    }
+
+    pub fn free_cpus(&self) -> f64 {
+        self.cpus - self.live().map(|(_, t)| t.cpus).sum::<f64>()
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), t)| TaskReport {
+            task: task.clone(),
+            attempt: *attempt,
+            state: t.state,
+            cause: t.cause,
+            saved: None,
+        });
+        Report {
+            machine: self.name.clone(),
+            endpoint: "127.0.0.1:9".into(),
+            kind: self.kind.clone(),
+            zone: self.zone.clone(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    pub fn take_answer(&mut self, answer: &ReportAnswer, sent: f64) -> bool {
+        if answer.token < self.token {
+            return false;
+        }
+        self.token = answer.token;
+        self.renewed = sent;
+        true
+    }
+
+    pub fn accepts(&self, orders: &Orders) -> bool {
+        orders.token >= self.token && orders.session == self.session
+    }
+
+    pub fn expire(&mut self, lease_s: f64, now: f64) {
+        if self.is_up(now) && now - self.renewed > lease_s {
+            self.session += 1;
+            self.renewed = now;
+            self.tasks.clear();
+        }
+    }
+
+    /// Takes a command; returns the task that it started.
+    pub fn obey(&mut self, command: &Command, plan: &JobPlan, now: f64) -> Option<String> {
+        match command {
+            Command::Start { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                if self.tasks.contains_key(&key) {
+                    return None;
+                }
+                let (state, cause) = self.start_state(task, plan);
+                let placed = OnWorker {
+                    state,
+                    cause,
+                    until: now + FETCH_S,
+                    cpus: plan.cpus,
+                    gang: plan.is_gang(),
+                };
+                self.tasks.insert(key, placed);
+                if state == TaskState::Exited {
+                    return None;
+                }
+                if self.images.contains(plan.class) {
+                    self.fetched(&(task.clone(), *attempt), plan, now);
+                }
+                Some(task.clone())
+            }
+            Command::Stop { task, attempt, .. } => {
+                let stopped = self.tasks.get_mut(&(task.clone(), *attempt));
+                if let Some(t) = stopped.filter(|t| t.is_live()) {
+                    t.exit(Cause::Stopped);
+                }
+                None
+            }
+            Command::Forget { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                if self.tasks.get(&key).is_some_and(|t| !t.is_live()) {
+                    self.tasks.remove(&key);
+                }
+                None
+            }
+        }
+    }
+
+    fn start_state(&self, task: &str, plan: &JobPlan) -> (TaskState, Option<Cause>) {
+        let refused = |cause| (TaskState::Exited, Some(cause));
+        if self.live().any(|((other, _), _)| other == task) {
+            refused(Cause::Busy)
+        } else if self.free_cpus() < plan.cpus {
+            refused(Cause::NoRoom)
+        } else {
+            (TaskState::Fetching, None)
+        }
+    }
+
+    /// The machine has the image that a task waits for.
+    fn fetched(&mut self, key: &(String, u64), plan: &JobPlan, now: f64) {
+        self.images.insert(plan.class.to_string());
+        let fails = plan.broken || self.faulty;
+        let (_, task) = parse_task(&key.0).unwrap();
+        let t = self.tasks.get_mut(key).expect("known task");
+        if self.results.contains(&key.0) {
+            return t.exit(Cause::Done);
+        }
+        let run_s = if fails {
+            FAILS_AFTER_S
+        } else {
+            plan.task_run_s(task)
+        };
+        t.until = now + run_s;
+        t.state = match plan.is_gang() && !fails {
+            true => TaskState::Waiting,
+            false => TaskState::Running,
+        };
+    }
+
+    /// Lets a task's fetch or run come to its end.
+    pub fn advance(&mut self, key: &(String, u64), plan: &JobPlan, now: f64) {
+        let fails = plan.broken || self.faulty;
+        let t = self.tasks.get_mut(key).expect("known task");
+        if now < t.until {
+            return;
+        }
+        match t.state {
+            TaskState::Fetching => self.fetched(key, plan, now),
+            TaskState::Running if fails => t.exit(Cause::Error),
+            TaskState::Running => {
+                t.exit(Cause::Done);
+                self.results.insert(key.0.clone());
+            }
+            _ => {}
+        }
+    }
+}
