A gang reserves only what it may use, in a zone that can hold it

A gang at the head of the queue held every machine, also those of other zones and types; the time was that at which all zones together have room. Now it reserves in the zone in which it starts first, counts no more than half of its tasks in a zone if it must spread, holds only machines that it may use, and holds up nobody if it fits nowhere. Tests: tests/play/zones.rs.

--- a/src/coordination/backfill.rs
+++ b/src/coordination/backfill.rs
@@ -2,7 +2,7 @@
 
 use super::state::Room;
 use super::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine as the reservation sees it: what is free now and what comes free when.
 pub struct Frees {
@@ -19,8 +19,8 @@
     pub at: Time,
     /// The machines that are held for its tasks: until when, and what is left over by then.
     held: BTreeMap<usize, (Time, Room)>,
-    /// For a gang: it needs room on many machines at once, so all are held for it.
-    everywhere: bool,
+    /// For a gang: it needs room on many machines at once, so all that it may use are held for it.
+    whole: BTreeSet<usize>,
 }
 
 /// The earliest starts of so many tasks, one a machine, that fit nowhere now.
@@ -55,37 +55,46 @@
     Some(Reservation {
         at: starts.first()?.0,
         held: held.map(|(at, i, spare)| (*i, (*at, *spare))).collect(),
-        everywhere: false,
+        whole: BTreeSet::new(),
     })
 }
 
-/// The earliest start of so many tasks at once, by the predicted ends of what runs.
+/// The earliest start of so many tasks at once, of which each zone may hold so many, by the
+/// predicted ends of what runs on the machines of these zones.
 pub fn reserve_gang(
     now: Time,
     need: &Room,
     tasks: u32,
-    machines: Vec<Frees>,
+    most_in_zone: u32,
+    zones: &[Vec<Frees>],
 ) -> Option<Reservation> {
-    let mut rooms: Vec<Room> = machines.iter().map(|m| m.room).collect();
-    let mut slots: u32 = rooms.iter().map(|r| r.slots(need)).sum();
+    let mut slots: Vec<u32> = Vec::new();
+    let mut machines: Vec<(usize, Room)> = Vec::new();
     let mut ends: Vec<(Time, usize, Room)> = Vec::new();
-    for (i, m) in machines.iter().enumerate() {
-        ends.extend(m.ends.iter().map(|(end, room)| (*end, i, *room)));
+    for (zone, of_zone) in zones.iter().enumerate() {
+        slots.push(of_zone.iter().map(|m| m.room.slots(need)).sum());
+        for m in of_zone {
+            let ends_here = m.ends.iter();
+            ends.extend(ends_here.map(|(end, room)| (*end, machines.len(), *room)));
+            machines.push((zone, m.room));
+        }
     }
     ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let usable = |slots: &[u32]| -> u32 { slots.iter().map(|n| n.min(&most_in_zone)).sum() };
     let mut at = now;
     let mut ends = ends.into_iter();
-    while slots < tasks {
-        let (end, i, room) = ends.next()?;
-        slots -= rooms[i].slots(need);
-        rooms[i].add(&room);
-        slots += rooms[i].slots(need);
+    while usable(&slots) < tasks {
+        let (end, i, freed) = ends.next()?;
+        let (zone, room) = &mut machines[i];
+        let before = room.slots(need);
+        room.add(&freed);
+        slots[*zone] += room.slots(need) - before;
         at = at.max(end);
     }
     Some(Reservation {
         at,
         held: BTreeMap::new(),
-        everywhere: true,
+        whole: zones.iter().flatten().map(|m| m.machine).collect(),
     })
 }
 
@@ -94,7 +103,7 @@
     pub fn allows(&self, machine: usize, need: &Room, end: Time) -> bool {
         match self.held.get(&machine) {
             Some((at, spare)) => end <= *at || spare.fits(need),
-            None => !self.everywhere || end <= self.at,
+            None => !self.whole.contains(&machine) || end <= self.at,
         }
     }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -435,10 +435,7 @@
             zones = all.into_iter().map(Some).collect();
             zones.sort();
         }
-        let most_in_zone = match job.spec.spread {
-            true => job.spec.tasks.div_ceil(2),
-            false => u32::MAX,
-        };
+        let most_in_zone = job.most_in_zone();
         for zone in zones {
             let mut chosen = Vec::new();
             let mut in_zone: HashMap<Name, u32> = HashMap::new();
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -9,7 +9,7 @@
 use crate::protocol::job::{Kind, Priority};
 use crate::protocol::worker::TaskState;
 use std::cmp::{Ordering, Reverse};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use tracing::info;
 
 /// Why a job's next task was not placed.
@@ -233,23 +233,11 @@
 
     /// Where the head starts, by the predicted ends of what runs.
     fn reservation(&self, pass: &Pass, job: &Job) -> Option<Reservation> {
-        let machines = pass.allowed(job).map(|i| {
-            let m = pass.machine(i);
-            self.look(m.places.len());
-            let ends = m
-                .live()
-                .map(|(_, p)| (p.predicted_end(pass.now), p.load.need));
-            Frees {
-                machine: i,
-                room: pass.room(i),
-                ends: ends.filter(|(end, _)| end.is_finite()).collect(),
-            }
-        });
-        let machines = machines.collect();
         let found = match job.spec.kind {
-            Kind::Gang => reserve_gang(pass.now, &job.need(), job.unplaced_count(), machines),
+            Kind::Gang => self.gang_reservation(pass, job),
             // At one task a reservation would hold nothing among hundreds of machines.
             _ => {
+                let machines = pass.allowed(job).map(|i| self.frees(pass, i)).collect();
                 let waiting = job.unplaced_count() as usize;
                 reserve(pass.now, &job.need(), waiting, machines)
             }
@@ -260,6 +248,37 @@
         found
     }
 
+    /// A gang that must be in one zone reserves in the zone in which it starts first.
+    fn gang_reservation(&self, pass: &Pass, job: &Job) -> Option<Reservation> {
+        let mut by_zone: BTreeMap<&Name, Vec<Frees>> = BTreeMap::new();
+        for i in pass.allowed(job) {
+            let of_zone = by_zone.entry(&pass.machine(i).zone).or_default();
+            of_zone.push(self.frees(pass, i));
+        }
+        let zones: Vec<Vec<Frees>> = by_zone.into_values().collect();
+        let (need, waiting) = (job.need(), job.unplaced_count());
+        let most = job.most_in_zone();
+        if !job.spec.one_zone {
+            return reserve_gang(pass.now, &need, waiting, most, &zones);
+        }
+        let each = zones.chunks(1);
+        let found = each.filter_map(|zone| reserve_gang(pass.now, &need, waiting, most, zone));
+        found.min_by(|a, b| a.at.total_cmp(&b.at))
+    }
+
+    fn frees(&self, pass: &Pass, i: usize) -> Frees {
+        let m = pass.machine(i);
+        self.look(m.places.len());
+        let ends = m
+            .live()
+            .map(|(_, p)| (p.predicted_end(pass.now), p.load.need));
+        Frees {
+            machine: i,
+            room: pass.room(i),
+            ends: ends.filter(|(end, _)| end.is_finite()).collect(),
+        }
+    }
+
     /// Which jobs fit into their team's guarantee along with its earlier unfinished ones.
     pub(super) fn within_guarantee(&self) -> HashMap<Name, bool> {
         if self.settings.cluster.teams.iter().all(|t| t.cpus <= 0.0) {
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -333,6 +333,14 @@
         self.spec.kind == Kind::Service
     }
 
+    /// How many of its tasks may be in one zone.
+    pub fn most_in_zone(&self) -> u32 {
+        match self.spec.spread {
+            true => self.spec.tasks.div_ceil(2),
+            false => u32::MAX,
+        }
+    }
+
     /// Tasks that are neither done nor placed, in order.
     pub fn unplaced(&self) -> impl Iterator<Item = u32> + '_ {
         self.tasks[self.first_open..]
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -13,3 +13,4 @@
 mod state_service;
 mod worker;
 mod workload;
+mod zones;
