Rent for jobs by the machines that they may use, and for all tasks of a gang

Demand compared all work with all processors. A job bound to a zone or type without machines therefore waited for ever while the rest of the fleet stood idle, and so did a gang with fewer slots than tasks. Now each choice of machines has a demand of its own, against the machines that suit it less what other batches hold for longer than a boot time, and the largest gang of each asks for the slots that it lacks. The demand of all counts these as given. The code moves from fleet.rs to demand.rs.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,11 +1,12 @@
-//! Which machines to rent, and what the cloud says of them.
+//! Which machines are rented for a demand, and what the cloud says of them.
 
 use super::core::{Core, Effect};
+use super::demand::{merged, Demand};
 use super::state::*;
 use super::Time;
 use crate::protocol::cloud::*;
 use crate::protocol::job::{JobSpec, Kind};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
@@ -17,12 +18,10 @@
 const SETTLED_SHARE: f64 = 0.9;
 /// What a machine costs at least, in seconds of its price.
 pub(super) const LEAST_CHARGE_S: f64 = 60.0;
-/// The share of a job's time that its tasks may take to be worked off.
-const HORIZON_SHARE: f64 = 0.5;
 
 /// How many replicas of a class came and went of late, by the second.
-struct Traffic {
-    spec: Arc<JobSpec>,
+pub(super) struct Traffic {
+    pub spec: Arc<JobSpec>,
     /// What was there at first is no sign of what comes.
     first: Time,
     came: BTreeMap<i64, u32>,
@@ -43,10 +42,10 @@
 
 #[derive(Default)]
 pub struct Fleet {
-    services: BTreeMap<String, Traffic>,
+    pub(super) services: BTreeMap<String, Traffic>,
     /// Type, zone and kind of rentals that the cloud refused, and until when that is remembered.
-    refused: BTreeMap<(Name, Name, bool), Time>,
-    renting: BTreeMap<String, Rent>,
+    pub(super) refused: BTreeMap<(Name, Name, bool), Time>,
+    pub(super) renting: BTreeMap<String, Rent>,
     /// Whether a rental was answered, so that the next one need not wait for the next tick.
     again: bool,
     managed: Time,
@@ -99,32 +98,6 @@
     }
 }
 
-/// Tasks of one shape that want machines.
-struct Demand {
-    spec: Arc<JobSpec>,
-    count: u32,
-    /// Whether the cloud may take the machine back.
-    spot: bool,
-}
-
-/// Demands of the same shape and with the same choice of machines as one.
-fn merged(demands: Vec<Demand>) -> Vec<Demand> {
-    let mut merged: Vec<Demand> = Vec::new();
-    for demand in demands {
-        let same = merged.iter_mut().find(|m| {
-            let (a, b) = (&m.spec, &demand.spec);
-            m.spot == demand.spot
-                && Room::of(a) == Room::of(b)
-                && (&a.types, &a.zone) == (&b.types, &b.zone)
-        });
-        match same {
-            Some(m) => m.count += demand.count,
-            None => merged.push(demand),
-        }
-    }
-    merged
-}
-
 impl Core {
     /// Rents on as soon as answers are in, but not more often than the cloud takes calls.
     pub(super) fn rent_on(&mut self, now: Time) {
@@ -166,169 +139,6 @@
         known as f64 >= SETTLED_SHARE * f64::from(up)
     }
 
-    /// The time in which a job's remaining work should be done.
-    fn horizon_s(&self, job: &Job, now: Time) -> f64 {
-        let objectives = &self.settings.cluster.objectives;
-        let within = objectives
-            .iter()
-            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(&job.spec.class))
-            .filter_map(|o| o.within_s)
-            .fold(f64::INFINITY, f64::min);
-        let due = job.due.as_ref().map_or(f64::INFINITY, Due::latest);
-        let end = due.min(job.ready + within);
-        let predicted = job.predicted_s.max(1.0);
-        if !end.is_finite() {
-            return 2.0 * predicted;
-        }
-        (HORIZON_SHARE * (end - now)).max(predicted)
-    }
-
-    /// What is wanted beyond the machines that are up or coming.
-    fn demands(&self, now: Time) -> Vec<Demand> {
-        let mut demands = Vec::new();
-        // Room on machines that are on their way.
-        let mut coming: Vec<(bool, Room)> = Vec::new();
-        for m in self.machines.values().filter(|m| m.phase == Phase::Booting) {
-            if let Some(t) = self.type_of(&m.kind) {
-                coming.push((m.spot, Room::of_type(t)));
-            }
-        }
-        for r in self.fleet.renting.values() {
-            if let Some(t) = self.type_of(&r.kind) {
-                for _ in 0..r.count {
-                    coming.push((r.spot, Room::of_type(t)));
-                }
-            }
-        }
-        let mut absorb = |need: &Room, spot: bool, count: u32| {
-            let mut left = count;
-            for (_, room) in coming.iter_mut().filter(|c| spot || !c.0) {
-                while left > 0 && room.fits(need) {
-                    room.take(need);
-                    left -= 1;
-                }
-            }
-            left
-        };
-        for job in self
-            .jobs
-            .values()
-            .filter(|j| j.is_service() && j.may_begin())
-        {
-            let count = self.wanted(job, job.unplaced_count());
-            let left = absorb(&job.need(), job.spec.spot, count);
-            if left > 0 {
-                demands.push(Demand {
-                    spec: job.spec.clone(),
-                    count: left,
-                    spot: job.spec.spot,
-                });
-            }
-        }
-        for (need, count, _) in self.fleet.expected(self, now) {
-            let free: u32 = self
-                .machines
-                .values()
-                .filter(|m| self.takes_tasks(m, now) && !m.spot)
-                .map(|m| self.free_room(m).slots(&need))
-                .sum();
-            let left = absorb(&need, false, count.saturating_sub(free));
-            let class = self
-                .fleet
-                .services
-                .values()
-                .find(|a| Room::of(&a.spec) == need);
-            if let (Some(a), true) = (class, left > 0) {
-                demands.push(Demand {
-                    spec: a.spec.clone(),
-                    count: left,
-                    spot: false,
-                });
-            }
-        }
-        demands.extend(self.batch_demand(now));
-        demands
-    }
-
-    /// Processors that batches can use, on machines that are up and on those that come.
-    fn cpus_to_come(&self, now: Time) -> f64 {
-        let coming = self.fleet.renting.values().map(|r| {
-            let cpus = self.type_of(&r.kind).map_or(0.0, |t| t.cpus);
-            cpus * f64::from(r.count)
-        });
-        let present = self
-            .machines
-            .values()
-            .filter(|m| m.phase == Phase::Booting || self.takes_tasks(m, now))
-            .map(|m| {
-                let cpus = self.type_of(&m.kind).map_or(0.0, |t| t.cpus);
-                let services = m.live().filter(|(_, p)| p.load.run_s.is_none());
-                cpus - services.map(|(_, p)| p.load.need.cpus).sum::<f64>()
-            });
-        coming.chain(present).sum()
-    }
-
-    /// The work of each job that runs, in processor seconds to its predicted end.
-    fn work_running(&self, now: Time) -> HashMap<&str, f64> {
-        let mut work: HashMap<&str, f64> = HashMap::new();
-        for m in self.machines.values() {
-            for (key, p) in m.live().filter(|(_, p)| p.load.run_s.is_some()) {
-                *work.entry(&key.0).or_default() += (p.predicted_end(now) - now) * p.load.need.cpus;
-            }
-        }
-        work
-    }
-
-    /// What the queue needs: enough that each job, after those before it, ends in its time. New
-    /// machines work only once they have booted; what is done by then needs none.
-    fn batch_demand(&self, now: Time) -> Option<Demand> {
-        let mut batches: Vec<&Job> = self
-            .jobs
-            .values()
-            .filter(|j| !j.is_service() && j.may_begin() && now >= j.retry_at)
-            .collect();
-        batches.sort_by_key(|j| j.seq);
-        let boots = self.types.iter().map(|t| t.boot_s);
-        let boot_s = boots.sum::<f64>() / self.types.len().max(1) as f64;
-        let have = self.cpus_to_come(now);
-        let running = self.work_running(now);
-        let mut work = 0.0;
-        let mut best: Option<(f64, &Job)> = None;
-        for job in batches {
-            let waiting = f64::from(job.unplaced_count()) * job.predicted_s * job.spec.cpus;
-            work += waiting + running.get(&*job.id).copied().unwrap_or(0.0);
-            if self.wanted(job, job.unplaced_count()) == 0 {
-                continue;
-            }
-            let least_s = boot_s + job.predicted_s;
-            let within_s = self.horizon_s(job, now).max(least_s);
-            let more = (work - have * within_s) / (within_s - boot_s);
-            if more > 0.0 && best.is_none_or(|b| more > b.0) {
-                best = Some((more, job));
-            }
-        }
-        let (cpus, job) = best?;
-        let count = (cpus / job.spec.cpus.max(1e-3)).ceil() as u32;
-        Some(Demand {
-            spec: job.spec.clone(),
-            count,
-            spot: job.spec.spot && self.settings.policy.spot,
-        })
-    }
-
-    /// As many of a job's tasks as its team's limit lets run.
-    pub(super) fn wanted(&self, job: &Job, count: u32) -> u32 {
-        let Some(team) = self.team(&job.spec.team) else {
-            return 0;
-        };
-        let used = self.team_use.get(&job.spec.team).map_or(0.0, |u| u.0);
-        if team.cpus_max <= 0.0 || job.spec.cpus <= 0.0 {
-            return count;
-        }
-        let free = ((team.cpus_max - used) / job.spec.cpus).max(0.0);
-        count.min(free as u32)
-    }
-
     /// Rents the cheapest machines that suit, as far as the cloud has not lately refused them.
     fn rent_for(&mut self, demand: &Demand) {
         let need = Room::of(&demand.spec);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,13 +4,14 @@
 //! actors to carry out. [`election`] decides who leads; [`core`] owns the state; [`places`] guards the invariants that the
 //! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`],
 //! [`pipelines`],
-//! [`deadlines`], [`backfill`], [`placement`], [`predict`], [`fleet`], [`retiring`] and [`health`]
+//! [`deadlines`], [`backfill`], [`placement`], [`predict`], `demand`, [`fleet`], [`retiring`] and [`health`]
 //! decide. [`redirects`] is a follower's; [`requests`] are users', on any node.
 
 pub mod backfill;
 pub mod cancellations;
 pub mod core;
 pub mod deadlines;
+mod demand;
 pub mod election;
 pub mod fleet;
 pub mod health;
--- a/tests/play/zones.rs
+++ b/tests/play/zones.rs
@@ -17,6 +17,73 @@
     play
 }
 
+/// A third of the jobs, arrays too, are bound to zone `a`.
+fn bound(random: &mut Random, cpus: f64, share: f64) -> Vec<JobPlan> {
+    let mut plans = mixed(random, cpus, share, 100.0);
+    for plan in plans.iter_mut().step_by(3) {
+        plan.zone = Some("a");
+    }
+    plans
+}
+
+/// The zone's machines are cut off for good while the rest of the fleet has room.
+#[test]
+fn jobs_bound_to_a_zone_get_new_machines_there_when_it_loses_its_own() {
+    check_days(SEEDS, |seed| {
+        let mut random = Random(seed);
+        let mut play = fleet(seed, Cloud::with_capacity(8), 5);
+        play.plan(bound(&mut random, 24.0, 0.5));
+        let lost_at = 20.0 + random.between(0.0, 20.0).floor();
+        play.calm_from = 60.0;
+        play.run(300.0, |play| {
+            if play.now == lost_at {
+                let lost = play.workers.values_mut().filter(|w| w.zone == "a");
+                lost.for_each(|w| w.cut_until = f64::INFINITY);
+            }
+        });
+        play
+    });
+}
+
+/// The others' machines stand idle, so that nothing else asks for more.
+#[test]
+fn an_array_bound_to_an_empty_zone_is_served_while_other_zones_have_room() {
+    check_days(SEEDS, |seed| {
+        let mut random = Random(seed);
+        let mut play = fleet(seed, Cloud::with_capacity(8), 0);
+        play.add_machines("b", 4);
+        let tasks = 1 + random.below(12) as u32;
+        play.plan(vec![JobPlan {
+            at_s: 5.0,
+            tasks,
+            zone: Some("a"),
+            run_s: random.between(10.0, 40.0),
+            ..JobPlan::default()
+        }]);
+        play.run(200.0, |_| {});
+        play
+    });
+}
+
+#[test]
+fn a_gang_gets_as_many_machines_as_its_tasks_need_at_once() {
+    check_days(SEEDS, |seed| {
+        let mut random = Random(seed);
+        let mut play = fleet(seed, Cloud::with_capacity(8), 1);
+        play.plan(vec![JobPlan {
+            at_s: 5.0,
+            rig: "group",
+            class: "gang",
+            tasks: 14 + random.below(10) as u32,
+            run_s: 30.0,
+            same_zone: random.chance(0.5),
+            ..JobPlan::default()
+        }]);
+        play.run(200.0, |_| {});
+        play
+    });
+}
+
 /// A gang that waits first in the queue until its user gives it up; the others go on meanwhile.
 fn day_of_a_gang_that_never_fits(seed: u64, gang: JobPlan) -> Simulation {
     let mut random = Random(seed);
