Machines are faulty only by proof of jobs that complete elsewhere

Two jobs that failed on a machine had it returned, and a job counted as broken only at its third machine: a few jobs submitted with a mistake cost healthy machines, all six of a fleet in two minutes. Now what failed must have completed a task elsewhere before it speaks against a machine; until then the machine comes last. A job's pause ends at half of the 90 s for which nobody may wait with room: it doubled up to 64 report intervals, 384 s on some deployments. Test: tests/play/failures.rs.

--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -7,12 +7,15 @@
 use crate::protocol::job::Kind;
 use tracing::{info, warn};
 
-/// Distinct jobs that must fail on a machine before it is held to be faulty.
+/// Distinct jobs that must fail on a machine, and then complete a task elsewhere, before it is held to
+/// be faulty.
 const FAULTY_MACHINE_JOBS: usize = 2;
 /// Distinct machines that a job must fail on before it is held to be faulty.
 const FAULTY_JOB_MACHINES: usize = 3;
-/// Each further failure of a job doubles its pause, up to this often.
+/// Each further failure of a job doubles its pause, up to this share of the time for which no job
+/// waits while there is room.
 const MOST_DOUBLINGS: u32 = 6;
+const LONGEST_PAUSE_SHARE: f64 = 0.5;
 
 /// Machines that are probed in one tick.
 const PROBES: usize = 64;
@@ -29,40 +32,54 @@
     pub(super) fn succeeded_on(&mut self, name: &Name, image: &str, now: Time) {
         if let Some(m) = self.machines.get_mut(name) {
             m.failures.clear();
+            m.faults.clear();
             m.images.insert(image.to_string(), now);
         }
     }
 
-    /// A task failed that had been placed at `since`. The machine is suspected when several jobs
-    /// fail there; the job, when it fails on several machines, or again where it failed before.
-    /// Tasks that fail together count once.
+    /// A task failed that had been placed at `since`. The job pauses when it fails on several
+    /// machines, or again where it failed before. Tasks that fail together count once. The machine
+    /// comes last from now on; whether it is at fault shows once the job runs elsewhere.
     pub(super) fn failed_on(&mut self, id: &Name, name: &Name, since: Time, now: Time) {
         let report_s = self.settings.cluster.workers.report_s;
-        let job_is_faulty = self.jobs.get_mut(id).is_some_and(|job| {
-            let again = job.failed_on.get(name).is_some_and(|t| since > *t);
-            job.failed_on.insert(name.clone(), now);
-            let count = job.failed_on.len();
-            let faulty = count >= FAULTY_JOB_MACHINES;
-            if (faulty || again) && now >= job.retry_at {
-                job.setbacks += 1;
-                let pause_s = report_s * f64::from(1 << job.setbacks.min(MOST_DOUBLINGS));
-                job.retry_at = now + pause_s;
-                warn!("{id}: failed on {count} machines, waits {pause_s:.0} s");
-            }
-            faulty
-        });
-        let Some(m) = self.machines.get_mut(name) else {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.failures.insert(id.clone());
+        }
+        let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if !job_is_faulty {
-            m.failures.insert(id.clone());
+        let again = job.failed_on.get(name).is_some_and(|t| since > *t);
+        job.failed_on.insert(name.clone(), now);
+        let count = job.failed_on.len();
+        if (count >= FAULTY_JOB_MACHINES || again) && now >= job.retry_at {
+            job.setbacks += 1;
+            let pause_s = report_s * f64::from(1 << job.setbacks.min(MOST_DOUBLINGS));
+            let pause_s = pause_s.min(LONGEST_PAUSE_SHARE * WAITS_WITH_ROOM_S);
+            job.retry_at = now + pause_s;
+            warn!("{id}: failed on {count} machines, waits {pause_s:.0} s");
+        }
+    }
+
+    /// A task of the job has completed, so the job is sound: machines on which it failed before are
+    /// faulty, if others prove the same. A job that never completes anything proves nothing.
+    pub(super) fn proves_faults(&mut self, id: &Name) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let failed_on = std::mem::take(&mut job.failed_on);
+        if failed_on.len() >= FAULTY_JOB_MACHINES {
+            return;
         }
-        if m.failures.len() >= FAULTY_MACHINE_JOBS && !m.quarantined {
-            warn!(
-                "{name}: quarantined, tasks of {} jobs failed there",
-                m.failures.len()
-            );
-            m.quarantined = true;
+        for name in failed_on.keys() {
+            let Some(m) = self.machines.get_mut(name) else {
+                continue;
+            };
+            m.faults.insert(id.clone());
+            if m.faults.len() >= FAULTY_MACHINE_JOBS && !m.quarantined {
+                let jobs = m.faults.len();
+                warn!("{name}: quarantined, tasks of {jobs} jobs failed there");
+                m.quarantined = true;
+            }
         }
     }
 
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -131,7 +131,6 @@
                 touched.push(t);
             }
         }
-        job.failed_on.clear();
         job.setbacks = 0;
         // Another place of a task that is done is of no use.
         let rest: Vec<At> = match is_gang {
@@ -141,7 +140,9 @@
                 .get(task as usize)
                 .map_or(Vec::new(), |t| t.at.clone()),
         };
-        if job.is_over() {
+        let over = job.is_over();
+        self.proves_faults(id);
+        if over {
             self.mark_over(id);
         }
         for t in touched {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -64,8 +64,11 @@
 /// Seconds of waiting that are accepted to keep services together, so that few machines are left
 /// with a replica each when the batches end.
 const APART_S: f64 = 1.0;
-/// More than any fetch takes.
+/// More than any fetch takes: where the job has failed, and where several others have.
 const FAILED_PENALTY_S: f64 = 1e6;
+const SUSPECT_PENALTY_S: f64 = 1e5;
+/// Jobs that have failed on a machine since one last completed there, before it comes last.
+const SUSPECT_JOBS: usize = 2;
 
 impl<'a> Pass<'a> {
     pub fn new(core: &'a Core, now: Time) -> Pass<'a> {
@@ -165,15 +168,10 @@
         !(one_zone && elsewhere || spread && here >= most)
     }
 
-    /// Seconds until a task could start there. Where the job has failed before comes last, but
-    /// stays allowed: there may be no other machine.
+    /// Seconds until a task could start there. Where the job or several others have failed before
+    /// comes last, but stays allowed: there may be no other machine.
     fn delay_s(&self, job: &Job, m: &Machine) -> f64 {
-        let failed = if job.failed_on.contains_key(&m.name) {
-            FAILED_PENALTY_S
-        } else {
-            0.0
-        };
-        failed + self.fetch_s(job, m)
+        failure_penalty_s(job, m) + self.fetch_s(job, m)
     }
 
     /// While machines fall together, one that has not been heard since may have fallen with them:
@@ -467,6 +465,17 @@
     }
 }
 
+/// What failures on a machine count for, in seconds of waiting.
+fn failure_penalty_s(job: &Job, m: &Machine) -> f64 {
+    if job.failed_on.contains_key(&m.name) {
+        FAILED_PENALTY_S
+    } else if m.failures.len() >= SUSPECT_JOBS {
+        SUSPECT_PENALTY_S
+    } else {
+        0.0
+    }
+}
+
 /// Whether the job's description lets its tasks use the machine.
 pub(super) fn may_use(job: &Job, m: &Machine) -> bool {
     let spec = &job.spec;
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -191,6 +191,9 @@
 const BEGINS_WITHIN_S: f64 = 240.0;
 const OVERDUE_SHARE: f64 = 0.5;
 
+/// The users' check: no job waits for this long while a machine that fits has room.
+pub(super) const WAITS_WITH_ROOM_S: f64 = 90.0;
+
 /// The deadline that a job works towards: its own, or that of a job that needs it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Due {
@@ -477,8 +480,10 @@
     pub unanswered: Option<Time>,
     pub no_orders_until: Time,
     pub idle_since: Time,
-    /// Tasks of these jobs failed on it since one last completed there.
+    /// Tasks of these jobs failed on it since one last completed there; and those of these jobs did
+    /// that have completed tasks elsewhere since.
     pub failures: BTreeSet<Name>,
+    pub faults: BTreeSet<Name>,
     pub quarantined: bool,
     /// Its replicas are being moved elsewhere, so that it can be returned.
     pub draining: bool,
@@ -515,6 +520,7 @@
             no_orders_until: 0.0,
             idle_since: now,
             failures: BTreeSet::new(),
+            faults: BTreeSet::new(),
             quarantined: false,
             draining: false,
             return_in_flight: false,
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -4,6 +4,7 @@
 mod cancellations;
 #[path = "../common/mod.rs"]
 mod common;
+mod failures;
 mod guests;
 mod leaders;
 mod overload;
