A gang goes to machines where it failed only when there are no others

Now machines where it or several others failed come last, as they do for arrays. Test: tests/play/failures.rs, a_gang_goes_round_the_machine_where_it_failed.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,7 +5,7 @@
 use super::queue::{outranks, Blocked};
 use super::state::*;
 use super::Time;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 pub(super) struct Plan {
     pub job: Name,
@@ -425,43 +425,58 @@
         if !self.within_limit(job, tasks.len() as u32) {
             return Err(Blocked::Rule);
         }
-        let need = job.need();
-        let end = self.now + job.predicted_s;
-        let mut zones: Vec<Option<Name>> = vec![None];
-        if job.spec.one_zone {
-            let all: HashSet<Name> = self.machines.iter().map(|m| m.zone.clone()).collect();
-            zones = all.into_iter().map(Some).collect();
-            zones.sort();
-        }
-        let most_in_zone = job.most_in_zone();
-        for zone in zones {
-            let mut chosen = Vec::new();
-            let mut in_zone: HashMap<Name, u32> = HashMap::new();
-            let mut machines: Vec<usize> = self
-                .allowed(job)
-                .filter(|i| zone.as_ref().is_none_or(|z| *z == self.machines[*i].zone))
-                .filter(|i| head.as_ref().is_none_or(|h| h.allows(*i, &need, end)))
-                .collect();
-            machines.sort_by_key(|i| std::cmp::Reverse(self.room(*i).slots(&need)));
-            for i in machines {
-                let here = in_zone.entry(self.machines[i].zone.clone()).or_default();
-                let free = self.room(i).slots(&need).min(most_in_zone - *here);
-                let missing = tasks.len() - chosen.len();
-                let count = (free as usize).min(missing);
-                *here += count as u32;
-                chosen.extend(std::iter::repeat_n(i, count));
-            }
-            if chosen.len() == tasks.len() {
-                for (task, i) in tasks.iter().zip(chosen) {
-                    if let Some(head) = head.as_mut() {
-                        head.admit(i, &need, end);
-                    }
-                    self.plan(job, *task, i, true);
-                }
-                return Ok(());
+        let Some(chosen) = self.fit_gang(job, tasks.len(), head.as_deref()) else {
+            return Err(Blocked::Room);
+        };
+        let (need, end) = (job.need(), self.now + job.predicted_s);
+        for (task, i) in tasks.iter().zip(chosen) {
+            if let Some(head) = head.as_mut() {
+                head.admit(i, &need, end);
             }
+            self.plan(job, *task, i, true);
+        }
+        Ok(())
+    }
+
+    /// A machine for each of so many tasks of a gang, in zones that allow it and without delaying the
+    /// reservation.
+    fn fit_gang(&self, job: &Job, tasks: usize, head: Option<&Reservation>) -> Option<Vec<usize>> {
+        let (need, end) = (job.need(), self.now + job.predicted_s);
+        let mut machines: Vec<usize> = self
+            .allowed(job)
+            .filter(|i| head.is_none_or(|h| h.allows(*i, &need, end)))
+            .collect();
+        // Where it has failed comes last.
+        machines.sort_by(|a, b| {
+            let failures = |i: usize| failure_penalty_s(job, self.machines[i]);
+            let slots = |i: usize| self.room(i).slots(&need);
+            let by_failures = failures(*a).total_cmp(&failures(*b));
+            by_failures.then(slots(*b).cmp(&slots(*a)))
+        });
+        if !job.spec.one_zone {
+            return self.fill(job, tasks, &machines);
+        }
+        let zones: BTreeSet<&Name> = machines.iter().map(|i| &self.machines[*i].zone).collect();
+        zones.into_iter().find_map(|zone| {
+            let here = machines.iter().copied();
+            let here: Vec<usize> = here.filter(|i| self.machines[*i].zone == *zone).collect();
+            self.fill(job, tasks, &here)
+        })
+    }
+
+    /// Takes machines in this order until so many tasks have one each.
+    fn fill(&self, job: &Job, tasks: usize, machines: &[usize]) -> Option<Vec<usize>> {
+        let need = job.need();
+        let mut chosen = Vec::new();
+        let mut in_zone: HashMap<&Name, u32> = HashMap::new();
+        for i in machines {
+            let here = in_zone.entry(&self.machines[*i].zone).or_default();
+            let free = self.room(*i).slots(&need).min(job.most_in_zone() - *here);
+            let count = (free as usize).min(tasks - chosen.len());
+            *here += count as u32;
+            chosen.extend(std::iter::repeat_n(*i, count));
         }
-        Err(Blocked::Room)
+        (chosen.len() == tasks).then_some(chosen)
     }
 }
 
--- a/tests/play/failures.rs
+++ b/tests/play/failures.rs
@@ -53,3 +53,24 @@
         play
     });
 }
+
+/// Nobody else can prove the machine faulty.
+#[test]
+fn a_gang_goes_round_the_machine_where_it_failed() {
+    check_days(SEEDS, |seed| {
+        let mut random = Random(seed);
+        let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
+        let machines = play.add_machines("z", 4);
+        let faulty = &machines[random.below(4) as usize];
+        play.workers.get_mut(faulty).unwrap().faulty = true;
+        play.plan(vec![JobPlan {
+            rig: "group",
+            class: "gang",
+            tasks: 12,
+            run_s: 20.0,
+            ..JobPlan::default()
+        }]);
+        play.run(200.0, |_| {});
+        play
+    });
+}
