A job that only the reservation withholds from room goes past it after a while

A job that has nothing running and has been kept from room by nothing but the reservation for 0.6 of the 90 s begins one task, as overdue jobs do; gangs within their team's guarantee or overdue now pass the reservation as arrays did. Tests: tests/play/reservations.rs.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -134,6 +134,8 @@
     next_pass: Time,
     chores_at: Time,
     explained: Time,
+    /// Jobs that the reservation alone keeps from room, and since when.
+    pub(super) withheld: BTreeMap<Name, Time>,
     /// Machines and places that passes have looked at so far.
     pub(super) looks: Cell<u64>,
     pub(super) in_flight: BTreeMap<u64, InFlight>,
@@ -221,6 +223,7 @@
             next_pass: 0.0,
             chores_at: 0.0,
             explained: 0.0,
+            withheld: BTreeMap::new(),
             looks: Cell::new(0),
             in_flight: BTreeMap::new(),
             spent: Spent::default(),
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -19,6 +19,8 @@
 pub(super) struct Plans {
     pub places: Vec<Plan>,
     pub stops: Vec<(Name, PlaceKey)>,
+    /// Jobs of which nothing runs, and that found room but for the reservation.
+    pub withheld: BTreeSet<Name>,
 }
 
 /// One pass of placing: rooms and limits as they will be once its plans are carried out.
@@ -381,6 +383,7 @@
     ) -> Result<(), Blocked> {
         let need = job.need();
         let mut zone_blocked = false;
+        let mut withheld = false;
         // What this pass has placed of the job already is not waiting any more.
         let placed = self.placed.get(&job.id).copied().unwrap_or(0);
         let mut tasks = job.unplaced().skip(placed).take(most).peekable();
@@ -396,6 +399,7 @@
                 }
                 let delays = head.as_ref().is_some_and(|h| !h.allows(i, &need, end));
                 if delays && !guaranteed {
+                    withheld = true;
                     break;
                 }
                 if let Some(head) = head.as_mut() {
@@ -405,10 +409,21 @@
                 self.plan(job, task, i, false);
             }
         }
-        match tasks.peek() {
-            None => Ok(()),
-            Some(_) if zone_blocked || !self.within_limit(job, 1) => Err(Blocked::Rule),
-            Some(_) => Err(Blocked::Room),
+        let waits = tasks.peek().is_some();
+        if withheld && !self.placed.contains_key(&job.id) {
+            self.withhold(job);
+        }
+        match waits {
+            false => Ok(()),
+            true if zone_blocked || !self.within_limit(job, 1) => Err(Blocked::Rule),
+            true => Err(Blocked::Room),
+        }
+    }
+
+    /// Only the reservation keeps the job from the room that there is.
+    fn withhold(&mut self, job: &Job) {
+        if job.live == 0 {
+            self.plans.withheld.insert(job.id.clone());
         }
     }
 
@@ -417,6 +432,7 @@
         &mut self,
         job: &Job,
         mut head: Option<&mut Reservation>,
+        guaranteed: bool,
     ) -> Result<(), Blocked> {
         if self.placed.contains_key(&job.id) {
             return Ok(());
@@ -425,7 +441,11 @@
         if !self.within_limit(job, tasks.len() as u32) {
             return Err(Blocked::Rule);
         }
-        let Some(chosen) = self.fit_gang(job, tasks.len(), head.as_deref()) else {
+        let reserved = head.as_deref().filter(|_| !guaranteed);
+        let Some(chosen) = self.fit_gang(job, tasks.len(), reserved) else {
+            if reserved.is_some() && self.fit_gang(job, tasks.len(), None).is_some() {
+                self.withhold(job);
+            }
             return Err(Blocked::Room);
         };
         let (need, end) = (job.need(), self.now + job.predicted_s);
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -9,9 +9,12 @@
 use crate::protocol::job::{Kind, Priority};
 use crate::protocol::worker::TaskState;
 use std::cmp::{Ordering, Reverse};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tracing::info;
 
+/// The share of the time for which no job waits with room after which the reservation yields.
+const WITHHELD_SHARE: f64 = 0.6;
+
 /// Why a job's next task was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Blocked {
@@ -71,6 +74,7 @@
         queue.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| in_turn(a, b, &turns)));
         self.place_queue(&mut pass, &queue, &|j| !rank(j));
         let plans = pass.finish();
+        self.note_withheld(&plans.withheld, now);
         for stop in plans.stops {
             let grace_s = self.grace(&stop.1);
             self.stop(&stop.0, &stop.1, grace_s, now);
@@ -168,10 +172,11 @@
         let mut head = Head::default();
         let mut rest = Vec::new();
         // Whatever a job yields to, it begins: one task of it, the longest waiting first.
+        let now = pass.now;
         let mut overdue: Vec<&Job> = queue
             .iter()
             .copied()
-            .filter(|j| j.is_overdue(pass.now))
+            .filter(|j| j.is_overdue(now) || self.was_withheld(j, now))
             .collect();
         overdue.sort_by_key(|j| j.seq);
         for job in overdue {
@@ -208,6 +213,21 @@
         }
     }
 
+    /// Whether the reservation alone has kept the job from room for so long that it goes past it.
+    /// Predictions may be wrong for ever, and nobody is to wait for long while there is room.
+    fn was_withheld(&self, job: &Job, now: Time) -> bool {
+        let since = self.withheld.get(&job.id);
+        since.is_some_and(|t| now - t > WITHHELD_SHARE * WAITS_WITH_ROOM_S)
+    }
+
+    /// Takes in which jobs a pass has withheld from room.
+    fn note_withheld(&mut self, jobs: &BTreeSet<Name>, now: Time) {
+        self.withheld.retain(|id, _| jobs.contains(id));
+        for id in jobs {
+            self.withheld.entry(id.clone()).or_insert(now);
+        }
+    }
+
     /// Places as many tasks of a job as can be, and at most so many.
     fn place_job(
         &self,
@@ -219,7 +239,7 @@
     ) -> Result<(), Blocked> {
         if job.spec.kind == Kind::Gang {
             return match job.live {
-                0 => pass.place_gang(job, head.reservation(self, pass)),
+                0 => pass.place_gang(job, head.reservation(self, pass), guaranteed),
                 _ => Ok(()),
             };
         }
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -8,6 +8,7 @@
 mod guests;
 mod leaders;
 mod overload;
+mod reservations;
 mod rules;
 mod services;
 mod simulation;
