--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod guests;
 mod leaders;
+mod meetings;
 mod overload;
 mod reservations;
 mod rules;
--- a/tests/play/services.rs
+++ b/tests/play/services.rs
@@ -51,6 +51,16 @@
 }
 
 impl StateService {
+    /// Treats what it is asked otherwise from now on.
+    pub fn set(&mut self, other: StateService) {
+        let (left, counted) = (self.left, self.counted);
+        *self = StateService {
+            left,
+            counted,
+            ..other
+        };
+    }
+
     /// Whether its limit allows so many changes now; bursts last a second.
     pub fn allows(&mut self, changes: usize, now: f64) -> bool {
         if self.changes_per_s.is_infinite() {
--- a/tests/play/simulation.rs
+++ b/tests/play/simulation.rs
@@ -382,12 +382,12 @@
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
             let worker = self.workers.get_mut(&name).unwrap();
-            let Some(core) = self.leader.as_mut().filter(|_| worker.is_reachable(now)) else {
+            let Some(core) = self.leader.as_mut().filter(|_| worker.is_heard(now)) else {
                 continue;
             };
             let heard = core.report(&worker.report(), now);
             if let Heard::Answer(answer) = heard {
-                if worker.take_answer(&answer, now) {
+                if worker.hears(now) && worker.take_answer(&answer, now) {
                     self.obey(&name, &answer.commands);
                 }
             }
@@ -572,7 +572,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return Ordered::Unknown;
         };
-        if !worker.is_reachable(now) {
+        if !worker.hears(now) {
             return Ordered::Unknown;
         }
         let accepted = worker.accepts(orders);
--- a/tests/play/worker.rs
+++ b/tests/play/worker.rs
@@ -48,6 +48,9 @@
     results: BTreeSet<String>,
     /// Cut off from every controller until then.
     pub cut_until: f64,
+    /// Its reports arrive, but nothing reaches it; or it reaches nobody, but commands arrive.
+    pub deaf_until: f64,
+    pub mute_until: f64,
     /// Every task fails on it.
     pub faulty: bool,
 }
@@ -69,6 +72,8 @@
             images: BTreeSet::new(),
             results: BTreeSet::new(),
             cut_until: 0.0,
+            deaf_until: 0.0,
+            mute_until: 0.0,
             faulty: false,
         }
     }
@@ -81,6 +86,15 @@
         self.is_up(now) && now >= self.cut_until
     }
 
+    /// Whether its reports arrive, and whether commands and answers do.
+    pub fn is_heard(&self, now: f64) -> bool {
+        self.is_reachable(now) && now >= self.mute_until
+    }
+
+    pub fn hears(&self, now: f64) -> bool {
+        self.is_reachable(now) && now >= self.deaf_until
+    }
+
     pub fn live(&self) -> impl Iterator<Item = (&(String, u64), &OnWorker)> {
         self.tasks.iter().filter(|(_, t)| t.is_live())
     }
