--- a/tests/play/simulation.rs
+++ b/tests/play/simulation.rs
@@ -196,6 +196,7 @@
         self.list_machines();
         self.decide();
         self.advance_gangs();
+        self.note_ends();
         if self.now >= self.calm_from {
             self.watch_users();
         }
@@ -522,12 +523,8 @@
                 let token = self.raise_token();
                 self.core().token_raised(token, now);
             }
-            Effect::Ended { id, state } => {
-                let outcome = self.outcomes.get_mut(&*id).unwrap();
-                if state == JobState::Done {
-                    outcome.done.get_or_insert(now);
-                }
-            }
+            // Users are told by the record, which any node may read.
+            Effect::Ended { .. } => {}
         }
     }
 
@@ -605,6 +602,17 @@
         self.store.commit(&txn).ok()
     }
 
+    /// Users are told of the ends that are on record.
+    fn note_ends(&mut self) {
+        for (id, outcome) in self.outcomes.iter_mut().filter(|(_, o)| o.is_open()) {
+            let Some((end, _)) = self.store.values.get(&end_key(id)) else {
+                continue;
+            };
+            assert_eq!(end["state"], "done", "{id}: nobody has cancelled it");
+            outcome.done = Some(self.now);
+        }
+    }
+
     /// Counts how long jobs wait though there is room, and how long nobody can say how they are.
     fn watch_users(&mut self) {
         let waiting = self.waiting_with_room();
