The leader's picture in small modules: rooms, tasks, jobs, places, records, machines

Each kind of thing has a file of its own under state/, re-exported, so that nothing else changes. No behaviour changes.

--- /dev/null
+++ b/src/coordination/state/job.rs
@@ -0,0 +1,160 @@
+//! Jobs, from their description to their end.
+
+use super::{Chunk, Due, Load, Name, Room, Task};
+use crate::coordination::Time;
+use crate::protocol::job::{JobSpec, Kind, Priority};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// The users' check at the end of a day: a class's largest jobs begin within this time; and the
+/// share of it after which a job that has not begun goes before others.
+const BEGINS_WITHIN_S: f64 = 240.0;
+const OVERDUE_SHARE: f64 = 0.5;
+
+/// The users' check: no job waits for this long while a machine that fits has room.
+pub(in crate::coordination) const WAITS_WITH_ROOM_S: f64 = 90.0;
+
+/// An open job, or one that has ended and of which a machine may still hold a task.
+pub struct Job {
+    pub spec: Arc<JobSpec>,
+    pub id: Name,
+    /// Version of the description's record: the order of arrival, the same for every leader.
+    pub seq: u64,
+    pub arrived: Time,
+    /// Jobs whose end is not known yet and that must be done before it begins, and since when there
+    /// are none.
+    pub needs: BTreeSet<Name>,
+    pub ready: Time,
+    /// A job that it needs is cancelled: so is it, once that is on record.
+    pub doomed: bool,
+    /// The highest priority and the most urgent deadline of it and of those that need it.
+    pub priority: Priority,
+    pub due: Option<Due>,
+    pub tasks: Vec<Task>,
+    pub done: u32,
+    /// Places that are or may be live, and those that are known to run.
+    pub live: u32,
+    pub running: u32,
+    pub chunks: Vec<Chunk>,
+    /// Records of completed tasks in other cuts, which others wrote; they go when it ends.
+    pub other_cuts: Vec<usize>,
+    /// Its user has cancelled it; its places are being cleared.
+    pub cancelled: bool,
+    pub end_in_flight: bool,
+    /// Its end is on record, but a machine may still hold one of its tasks.
+    pub ended: bool,
+    pub predicted_s: f64,
+    /// Machines on which its tasks have failed since one last completed, and when.
+    pub failed_on: BTreeMap<Name, Time>,
+    pub retry_at: Time,
+    /// Failures in a row that made it pause.
+    pub setbacks: u32,
+    /// No task before this one can be placed.
+    pub first_open: usize,
+    pub first_run: Option<Time>,
+}
+
+impl Job {
+    /// A job without places, as it arrives.
+    pub fn new(
+        spec: Arc<JobSpec>,
+        seq: u64,
+        arrived: Time,
+        chunks: usize,
+        predicted_s: f64,
+    ) -> Job {
+        Job {
+            id: spec.id.as_str().into(),
+            seq,
+            arrived,
+            needs: BTreeSet::new(),
+            ready: arrived,
+            doomed: false,
+            priority: spec.priority,
+            due: None,
+            tasks: vec![Task::default(); spec.tasks as usize],
+            done: 0,
+            live: 0,
+            running: 0,
+            chunks: vec![Chunk::default(); chunks],
+            other_cuts: Vec::new(),
+            cancelled: false,
+            end_in_flight: false,
+            ended: false,
+            predicted_s,
+            failed_on: BTreeMap::new(),
+            retry_at: 0.0,
+            setbacks: 0,
+            first_open: 0,
+            first_run: None,
+            spec,
+        }
+    }
+
+    pub fn need(&self) -> Room {
+        Room::of(&self.spec)
+    }
+
+    /// What a place of one of its tasks needs to know of it.
+    pub fn load(&self) -> Load {
+        Load {
+            need: self.need(),
+            priority: self.priority,
+            run_s: (!self.is_service()).then_some((self.predicted_s, self.spec.estimate_s)),
+            yields: self.spec.kind == Kind::Array && self.spec.checkpoint_s <= 0.0,
+        }
+    }
+
+    /// Whether nothing of it has begun for so long that it goes before others, whatever it yields to.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        let waits = self.first_run.is_none() && self.live == 0 && self.done == 0;
+        waits && now - self.ready > BEGINS_WITHIN_S * OVERDUE_SHARE
+    }
+
+    /// The processor seconds that are left, by its prediction; what runs is half done on average.
+    pub fn work_left(&self) -> f64 {
+        let tasks = f64::from(self.unplaced_count()) + f64::from(self.live) / 2.0;
+        tasks * self.predicted_s * self.spec.cpus
+    }
+
+    /// Whether nothing is left of it but the record of its end.
+    pub fn is_over(&self) -> bool {
+        let done = !self.is_service() && self.done as usize == self.tasks.len();
+        match self.cancelled || self.doomed {
+            true => self.live == 0 && !self.ended,
+            false => done && !self.ended,
+        }
+    }
+
+    /// Whether its tasks may be placed, as far as other jobs are concerned.
+    pub fn may_begin(&self) -> bool {
+        !self.cancelled && !self.doomed && self.needs.is_empty()
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == Kind::Service
+    }
+
+    /// How many of its tasks may be in one zone.
+    pub fn most_in_zone(&self) -> u32 {
+        match self.spec.spread {
+            true => self.spec.tasks.div_ceil(2),
+            false => u32::MAX,
+        }
+    }
+
+    /// Tasks that are neither done nor placed, in order.
+    pub fn unplaced(&self) -> impl Iterator<Item = u32> + '_ {
+        self.tasks[self.first_open..]
+            .iter()
+            .enumerate()
+            .filter(|(_, t)| !t.done && t.at.is_empty())
+            .map(|(i, _)| (self.first_open + i) as u32)
+    }
+
+    pub fn unplaced_count(&self) -> u32 {
+        (self.tasks.len() as u32)
+            .saturating_sub(self.done)
+            .saturating_sub(self.live)
+    }
+}
