--- a/tests/play/failures.rs
+++ b/tests/play/failures.rs
@@ -18,7 +18,7 @@
     let mut plans = stream(&template, 0.3, 5.0, until_s);
     for plan in &mut plans {
         plan.tasks = 1 + random.below(4) as u32;
-        plan.cancel_after_s = Some(random.between(60.0, 220.0));
+        plan.cancel_after_s = Some(random.between(60.0, 400.0));
     }
     plans
 }
@@ -35,7 +35,7 @@
         play.run(140.0, |_| {});
         let lost = machines.iter().filter(|m| !play.workers.contains_key(*m));
         assert_eq!(lost.count(), 0, "seed {seed}: healthy machines are lost");
-        play.run(300.0, |_| {});
+        play.run(420.0, |_| {});
         play
     });
 }
@@ -44,12 +44,14 @@
 fn a_faulty_machine_holds_up_nobody() {
     check_days(SEEDS, |seed| {
         let mut random = Random(seed);
-        let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::with_capacity(8));
-        let machines = play.add_machines("z", 5);
-        let faulty = &machines[random.below(5) as usize];
+        let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
+        let machines = play.add_machines("z", 6);
+        let faulty = &machines[random.below(6) as usize];
         play.workers.get_mut(faulty).unwrap().faulty = true;
         play.plan(mixed(&mut random, 20.0, 0.9, 120.0));
         play.run(300.0, |_| {});
+        let there = play.workers.contains_key(faulty);
+        assert!(!there, "seed {seed}: the faulty machine was never returned");
         play
     });
 }
--- a/tests/play/guests.rs
+++ b/tests/play/guests.rs
@@ -1,6 +1,6 @@
 //! Guest teams without a guarantee: one huge array, and a swarm of tiny tasks.
 
-use crate::rules::check_days;
+use crate::rules::{check_days, longest_delay_s};
 use crate::services::Cloud;
 use crate::simulation::{team, Simulation};
 use crate::workload::{mixed, stream, JobPlan, Random};
@@ -64,6 +64,9 @@
         };
         play.plan(stream(&small, 0.2, 5.0, 200.0));
         play.run(480.0, |_| {});
+        // Less than it takes until a job goes past a reservation that withholds it.
+        let delay_s = longest_delay_s(&play, |p| p.team == "t");
+        assert!(delay_s < 45.0, "seed {seed}: others waited {delay_s} s");
         play
     });
 }
--- a/tests/play/reservations.rs
+++ b/tests/play/reservations.rs
@@ -29,7 +29,11 @@
         ..JobPlan::default()
     };
     play.plan(vec![long, JobPlan { at_s: 5.0, ..head }]);
-    play.plan(stream(&small, 0.1, 10.0, 250.0));
+    let mut others = stream(&small, 0.1, 10.0, 250.0);
+    for gang in others.iter_mut().step_by(3) {
+        (gang.rig, gang.class, gang.tasks) = ("group", "small gang", 2);
+    }
+    play.plan(others);
     play.run(420.0, |_| {});
     play
 }
--- a/tests/play/rules.rs
+++ b/tests/play/rules.rs
@@ -1,6 +1,7 @@
 //! What is checked at the end of a day.
 
 use crate::simulation::{Outcome, Simulation};
+use crate::workload::JobPlan;
 use std::collections::BTreeMap;
 
 /// The largest jobs of a class begin within this time.
@@ -41,6 +42,13 @@
     }
 }
 
+/// How long the slowest of these jobs took to begin.
+pub fn longest_delay_s(simulation: &Simulation, of: impl Fn(&JobPlan) -> bool) -> f64 {
+    let outcomes = simulation.outcomes.values().filter(|o| of(&o.plan));
+    let delays = outcomes.map(|o| o.began.map_or(f64::INFINITY, |t| t - o.arrived));
+    delays.fold(0.0, f64::max)
+}
+
 /// Every rule that the simulated day has broken.
 pub fn broken_rules(simulation: &Simulation) -> Vec<String> {
     let mut broken = unserved(simulation);
--- a/tests/play/services.rs
+++ b/tests/play/services.rs
@@ -97,6 +97,8 @@
     pub boot_s: f64,
     /// Machines that it has in each zone.
     pub most_in_zone: usize,
+    /// A zone in which it has none left.
+    pub sold_out: Option<&'static str>,
     /// Whether idle machines stay, by the operators' settings.
     pub keeps_idle: bool,
 }
@@ -109,6 +111,7 @@
             takes_back: true,
             boot_s: 0.0,
             most_in_zone: 0,
+            sold_out: None,
             keeps_idle: true,
         }
     }
@@ -119,6 +122,7 @@
             takes_back: true,
             boot_s: 2.0,
             most_in_zone,
+            sold_out: None,
             keeps_idle: false,
         }
     }
--- a/tests/play/simulation.rs
+++ b/tests/play/simulation.rs
@@ -587,7 +587,8 @@
     fn rent(&mut self, zone: &str, count: usize) -> Vec<String> {
         let there = self.workers.values().filter(|w| w.zone == zone).count();
         let free = self.cloud.most_in_zone.saturating_sub(there);
-        let count = if self.cloud.rents { count.min(free) } else { 0 };
+        let gives = self.cloud.rents && self.cloud.sold_out != Some(zone);
+        let count = if gives { count.min(free) } else { 0 };
         let up_s = self.now + self.cloud.boot_s;
         (0..count).map(|_| self.add_machine(zone, up_s)).collect()
     }
--- a/tests/play/zones.rs
+++ b/tests/play/zones.rs
@@ -1,11 +1,13 @@
 //! Jobs that may use one zone only.
 
-use crate::rules::check_days;
+use crate::rules::{check_days, longest_delay_s};
 use crate::services::Cloud;
 use crate::simulation::{Simulation, UNLIMITED};
 use crate::workload::{mixed, JobPlan, Random};
 
 const SEEDS: u64 = 12;
+/// Less than it takes until a job goes past a reservation that withholds it.
+const SOON_S: f64 = 45.0;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// Machines in all zones.
@@ -45,6 +47,36 @@
     });
 }
 
+/// What others run there leaves no room for minutes, while other zones have room.
+#[test]
+fn a_job_bound_to_a_zone_that_others_fill_gets_a_machine_there() {
+    check_days(SEEDS, |seed| {
+        let mut random = Random(seed);
+        let mut play = fleet(seed, Cloud::with_capacity(8), 0);
+        play.add_machines("a", 1);
+        play.plan(vec![
+            JobPlan {
+                class: "long",
+                tasks: 4,
+                run_s: 300.0,
+                ..JobPlan::default()
+            },
+            JobPlan {
+                at_s: 15.0,
+                zone: Some("a"),
+                run_s: random.between(5.0, 20.0),
+                ..JobPlan::default()
+            },
+        ]);
+        play.run(350.0, |play| {
+            if play.now == 10.0 {
+                play.add_machines("b", 4);
+            }
+        });
+        play
+    });
+}
+
 /// The others' machines stand idle, so that nothing else asks for more.
 #[test]
 fn an_array_bound_to_an_empty_zone_is_served_while_other_zones_have_room() {
@@ -84,6 +116,27 @@
     });
 }
 
+/// The zone that holds the most already has no more machines to rent.
+#[test]
+fn a_gang_in_one_zone_goes_where_machines_are_to_be_had() {
+    check_days(SEEDS, |seed| {
+        let mut random = Random(seed);
+        let mut play = fleet(seed, Cloud::with_capacity(8), 0);
+        play.add_machines("a", 2);
+        play.cloud.sold_out = Some("a");
+        play.plan(vec![JobPlan {
+            rig: "group",
+            class: "gang",
+            tasks: 10 + random.below(10) as u32,
+            same_zone: true,
+            run_s: 20.0,
+            ..JobPlan::default()
+        }]);
+        play.run(200.0, |_| {});
+        play
+    });
+}
+
 /// A gang that waits first in the queue until its user gives it up; the others go on meanwhile.
 fn day_of_a_gang_that_never_fits(seed: u64, gang: JobPlan) -> Simulation {
     let mut random = Random(seed);
@@ -100,6 +153,8 @@
         ..gang
     }]);
     play.run(260.0, |_| {});
+    let delay_s = longest_delay_s(&play, |p| p.class != "wide");
+    assert!(delay_s < SOON_S, "seed {seed}: others waited {delay_s} s");
     play
 }
 
@@ -159,6 +214,8 @@
         others.iter_mut().for_each(|p| p.at_s += 10.0);
         play.plan(others);
         play.run(300.0, |_| {});
+        let delay_s = longest_delay_s(&play, |p| p.zone.is_none());
+        assert!(delay_s < SOON_S, "seed {seed}: others waited {delay_s} s");
         play
     });
 }
