A job that has found no room for two minutes gets machines of its own

Demand compares work with processors over twice a job's run time. A new 300 s task beside four others of 300 s would thus end in time, and so began after 297 s, though the largest of a class must begin within 240 s. What has not begun for two minutes now asks for a machine, a gang for all that its tasks need. The tasks that a team's limit leaves were counted without slack for decimal fractions, so that the last one asked for none. Tests: tests/play/limits.rs.

--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -10,6 +10,8 @@
 use std::iter::repeat_n;
 use std::sync::Arc;
 
+/// Amounts are decimal fractions: sums may miss by a little.
+const SLACK: f64 = 1e-6;
 /// The share of a job's time that its tasks may take to be worked off.
 const HORIZON_SHARE: f64 = 0.5;
 
@@ -156,6 +158,20 @@
                 });
             }
         }
+        for job in self.overdue_batches(now) {
+            let tasks = match job.spec.kind {
+                Kind::Gang => job.spec.tasks,
+                _ => 1,
+            };
+            let left = absorb(&job.need(), job.spec.spot, self.wanted(job, tasks));
+            if left > 0 {
+                demands.push(Demand {
+                    spec: job.spec.clone(),
+                    count: left,
+                    spot: job.spec.spot && self.settings.policy.spot,
+                });
+            }
+        }
         demands.extend(self.batch_demands(now));
         demands
     }
@@ -231,6 +247,13 @@
         demands
     }
 
+    /// Batches that have found no room for so long that they get machines of their own: those at hand
+    /// may suffice to end them in time, and yet not to begin them.
+    fn overdue_batches(&self, now: Time) -> impl Iterator<Item = &Job> {
+        let batches = self.jobs.values().filter(|j| !j.is_service());
+        batches.filter(move |j| j.may_begin() && now >= j.retry_at && j.is_overdue(now))
+    }
+
     /// Waiting jobs by the machines that they may use: types on which a task fits, zone, and whether
     /// the cloud may take them back.
     fn by_choice<'a>(&'a self, batches: &[&'a Job]) -> BTreeMap<Choice<'a>, Vec<&'a Job>> {
@@ -356,7 +379,7 @@
         if team.cpus_max <= 0.0 || job.spec.cpus <= 0.0 {
             return count;
         }
-        let free = ((team.cpus_max - used) / job.spec.cpus).max(0.0);
+        let free = ((team.cpus_max - used + SLACK) / job.spec.cpus).max(0.0);
         count.min(free as u32)
     }
 }
--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod guests;
 mod leaders;
+mod limits;
 mod meetings;
 mod overload;
 mod reservations;
