A command's answer proves nothing of launches in an answer to a report

Cause: a worker numbers the answers to direct commands as it does its own reports. A launch that left with the answer to report 5 counted as over once any later number showed nothing of it. But a direct command may be executed, and answered with number 6, while the answer to report 5 is still on its way (a worker takes it for four seconds). The task of a job that was cancelled, or stopped, in between counted as gone, its room and its team's limit were given to others, and then it started.

Change: what an answer launched is over once the worker's own next report shows nothing of it.

--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -272,9 +272,10 @@
         let first_token = self.first_token;
         let jobs = &self.jobs;
         let m = self.machines.get_mut(name).expect("known machine");
+        let reported = m.reported;
         // An answer brought a launch, and a report after it shows nothing of that.
         let unheeded = m.places.iter().any(|(key, p)| {
-            let answered = p.reply_seq.is_some_and(|s| s < r.seq);
+            let answered = p.reply_seq.is_some_and(|s| s < reported);
             p.stage == Stage::Started && p.stop.is_none() && answered && !shown.contains(key)
         });
         if unheeded {
@@ -285,7 +286,7 @@
             if shown.contains(key) {
                 return true;
             }
-            let over = place.launches_are_over(r.token, r.seq);
+            let over = place.launches_are_over(r.token, reported);
             let gone = match place.stage {
                 Stage::Planned => false,
                 // The worker forgot it as it was told.
@@ -348,6 +349,7 @@
                 // before it is heard of: when it begins, and so when it ends, is not known.
                 m.session += 1;
                 m.seq = 0;
+                m.reported = 0;
                 m.heard = None;
             }
         }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -33,9 +33,15 @@
         }
     }
 
+    /// Takes in the report that answered a direct command. It says nothing of the answer to the
+    /// worker's last own report, which may still be under way.
+    pub fn absorb(&mut self, r: &Report, now: Time) -> bool {
+        self.take_in(r, false, now)
+    }
+
     /// Takes in a report of any origin, if it is newer than all before it. A late copy proves
     /// nothing but what has completed.
-    pub fn absorb(&mut self, r: &Report, now: Time) -> bool {
+    fn take_in(&mut self, r: &Report, is_own: bool, now: Time) -> bool {
         let name: Name = r.machine.as_str().into();
         let lease_s = self.settings.cluster.workers.lease_s;
         if !self.is_newer(r) || self.gone.contains_key(&name) {
@@ -73,6 +79,12 @@
                 now - m.rented
             );
         }
+        if new_session {
+            m.reported = 0;
+        }
+        if is_own {
+            m.reported = r.seq;
+        }
         m.session = r.session;
         m.seq = r.seq;
         m.token = m.token.max(r.token);
@@ -205,7 +217,7 @@
             self.deposed = true;
             return Heard::Deposed;
         }
-        if !self.absorb(r, now) {
+        if !self.take_in(r, true, now) {
             return Heard::Stale;
         }
         let name: Name = r.machine.as_str().into();
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -30,6 +30,9 @@
     pub ours: bool,
     pub session: u64,
     pub seq: u64,
+    /// The number of its newest own report in this session; answers to direct commands have later
+    /// numbers too.
+    pub reported: u64,
     pub token: u64,
     /// When it was last heard of, and when a report of it was last answered.
     pub heard: Option<Time>,
@@ -76,6 +79,7 @@
             ours: false,
             session: 0,
             seq: 0,
+            reported: 0,
             token: 0,
             heard: None,
             answered: now,
--- a/src/coordination/state/place.rs
+++ b/src/coordination/state/place.rs
@@ -64,9 +64,10 @@
         !matches!(self.stage, Stage::Exited(_))
     }
 
-    /// Whether no launch that was sent can still reach the worker, given the newest report.
-    pub fn launches_are_over(&self, token: u64, seq: u64) -> bool {
-        self.orders_token.is_none_or(|t| token > t) && self.reply_seq.is_none_or(|s| seq > s)
+    /// Whether no launch that was sent can still reach the worker, given its token and the number of
+    /// its newest own report: until it sends another, it may yet take the answer to that one.
+    pub fn launches_are_over(&self, token: u64, reported: u64) -> bool {
+        self.orders_token.is_none_or(|t| token > t) && self.reply_seq.is_none_or(|s| reported > s)
     }
 
     /// When it is predicted to come free; never, for a service.
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -4,10 +4,11 @@
 
 use common::*;
 use stairstage::bookkeeping::records::OpenRecord;
-use stairstage::coordination::core::{Core, Effect, Heard, Ordered};
+use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
 use stairstage::coordination::redirects::Redirects;
 use stairstage::protocol::cloud::{ListedMachine, MachineState};
 use stairstage::protocol::job::JobState;
+use stairstage::protocol::store::Change;
 use stairstage::protocol::worker::*;
 use std::collections::BTreeMap;
 
@@ -399,3 +400,52 @@
     }
     assert_eq!(returned, ["m-1"], "long paid for, and idle");
 }
+
+/// An array of one task, as it is opened.
+fn open_one_task(core: &mut Core, id: &str, seq: u64, now: f64) {
+    let spec = parsed(&submission(id, "sweep", "normal", 1));
+    core.job_opened(OpenRecord::accepted(spec, 0), seq, 0, now);
+}
+
+/// Lets the core decide. Writes succeed; returns the keys that they delete, and what is launched by
+/// direct commands, which get no answer yet.
+fn decided(core: &mut Core, now: f64) -> (Vec<String>, Vec<(String, u64)>) {
+    let (mut deleted, mut launches) = (Vec::new(), Vec::new());
+    each_effect(core, now, |core, effect| match effect {
+        Effect::Write { id, transaction } => {
+            deleted.extend(transaction.changes.iter().filter_map(|c| match c {
+                Change::Delete { key } => Some(key.clone()),
+                Change::Put { .. } => None,
+            }));
+            core.written(id, Written::Applied(100 + id), now);
+        }
+        Effect::Orders { orders, .. } => launches.extend(starts(&orders.commands)),
+        _ => {}
+    });
+    (deleted, launches)
+}
+
+#[test]
+fn a_command_that_overtakes_an_answer_proves_nothing_of_its_launches() {
+    let mut core = core();
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    open_one_task(&mut core, "req-1", 1, 0.0);
+    let (_, launches) = decided(&mut core, 0.0);
+    assert_eq!(launches.len(), 1);
+    // While that command is under way, the other job's launch leaves with the answer to a report.
+    open_one_task(&mut core, "req-2", 2, 0.5);
+    assert!(decided(&mut core, 0.5).1.is_empty());
+    let by_answer = answered(&mut core, &worker_report("m-1", 2, 1, vec![]), 0.6);
+    assert!(by_answer.contains(&"req-2/0".to_string()), "{by_answer:?}");
+    core.cancel("req-2", 0.7);
+    // The command is answered first: nothing of the second job is there yet, but it may come.
+    let running = shown(&launches, TaskState::Running, None);
+    let after_command = worker_report("m-1", 3, 1, running.clone());
+    core.ordered(&"m-1".into(), Ordered::Executed(after_command), 0.8);
+    let (deleted, _) = decided(&mut core, 1.5);
+    assert!(deleted.is_empty(), "{deleted:?}");
+    // The worker's next own report shows that it did not take the answer.
+    answered(&mut core, &worker_report("m-1", 4, 1, running), 2.0);
+    let (deleted, _) = decided(&mut core, 2.5);
+    assert_eq!(deleted, ["open/req-2"]);
+}
