--- a/tests/histories/delivery.rs
+++ b/tests/histories/delivery.rs
@@ -1,139 +1,218 @@
-//! How effects of the leader are carried out, and how reports and commands are delivered.
+//! How effects of a controller are carried out, and how reports and commands are delivered.
 
 use super::common::Refusal;
+use super::leader::Leader;
 use super::worker::Worker;
-use super::world::World;
+use super::world::{World, WriteFate};
 use serde_json::json;
 use stairstage::bookkeeping::records::LEADER;
 use stairstage::coordination::core::{Effect, Heard, Ordered, Written};
+use stairstage::protocol::cloud::Rent;
 use stairstage::protocol::store::Transaction;
 use stairstage::protocol::worker::*;
 
 impl World {
+    pub fn worker_named(&self, name: &str) -> Option<usize> {
+        self.workers.iter().position(|w| w.name == name)
+    }
+
+    /// Delivers direct commands: whether they were executed, and the worker's report.
     pub fn deliver(&mut self, worker: usize, orders: &Orders) -> Option<(bool, Report)> {
-        let w = &mut self.workers[worker];
-        if w.gone {
+        let (w, now) = (&mut self.workers[worker], self.now);
+        if !w.is_up(now) {
             return None;
         }
-        let fits = orders.token >= w.token && orders.session == w.session;
+        let fits = w.accepts(orders);
         let mut started = Vec::new();
         if fits {
             w.token = orders.token;
-            started = w.run(&orders.commands);
+            started = w.run(&orders.commands, now);
         }
         let report = w.report();
-        self.started(worker, started);
+        self.check_starts(worker, &started);
         Some((fits, report))
     }
 
+    /// Carries out what the leader and former leaders have decided.
     pub fn effects(&mut self) {
-        loop {
-            let effects = self.core.take_effects();
-            if effects.is_empty() {
-                return;
-            }
-            for effect in effects {
-                self.carry_out(effect);
+        let all = self.leader.iter().chain(&self.formers);
+        let ids: Vec<u64> = all.map(Leader::id).collect();
+        for id in ids {
+            while let Some(leader) = self.controller(id) {
+                let effects = leader.core.take_effects();
+                if effects.is_empty() {
+                    break;
+                }
+                for effect in effects {
+                    self.carry_out(id, effect);
+                }
             }
         }
     }
 
-    pub fn carry_out(&mut self, effect: Effect) {
+    fn carry_out(&mut self, from: u64, effect: Effect) {
+        let now = self.now;
         match effect {
-            Effect::Write { id, transaction } => {
-                // 0: answered; 1: applied without an answer; 2: lost; 3: held back.
-                let mode = std::mem::take(&mut self.writes);
-                self.late.push(transaction.clone());
-                let result = match mode {
-                    2 | 3 => Err(Refusal::Conflict),
-                    _ => self.store.commit(&transaction),
-                };
-                if mode == 2 {
-                    self.late.pop();
-                }
-                assert!(
-                    result != Err(Refusal::TooLarge),
-                    "too large: {transaction:?}"
-                );
-                let written = match (mode, result) {
-                    (0, Ok(revision)) => Written::Applied(revision),
-                    _ => self.store.reread(&transaction),
-                };
-                self.core.written(id, written, self.now);
-            }
+            Effect::Write { id, transaction } => self.write(from, id, transaction),
             Effect::Orders {
                 machine, orders, ..
-            } => {
-                let worker = self
-                    .workers
-                    .iter()
-                    .position(|w| *w.name == *machine)
-                    .unwrap();
-                // A copy of what is carried out may come again later.
-                let name = self.workers[worker].name.clone();
-                self.held.push((name, orders.clone()));
-                let w = &self.workers[worker];
-                let result = if self.holding || w.cut || w.deaf {
-                    Ordered::Unknown
-                } else {
-                    match self.deliver(worker, &orders) {
-                        None => Ordered::NotSent,
-                        Some((true, report)) => Ordered::Executed(report),
-                        Some((false, report)) => Ordered::Rejected(Some(report)),
-                    }
-                };
-                self.core.ordered(&machine, result, self.now);
-            }
+            } => match self.network {
+                Some(_) => self.send_orders(from, &machine, orders),
+                None => self.order_at_once(from, &machine, &orders),
+            },
             Effect::Return(names) => {
-                self.given_back(&names);
-                self.core.returned(&names, true, self.now);
+                let confirmed = !self.cloud_is_down;
+                if confirmed {
+                    self.given_back(&names);
+                }
+                self.with_core(from, |core| core.returned(&names, confirmed, now));
+            }
+            Effect::Rent(rent) => {
+                let names = (!self.cloud_is_down).then(|| self.rent(&rent));
+                self.with_core(from, |core| core.rented(&rent.request, names, now));
             }
-            Effect::Rent(rent) => self.core.rented(&rent.request, Some(Vec::new()), self.now),
             Effect::RaiseToken => {
-                let txn = Transaction::default()
-                    .version(LEADER, self.core.token)
-                    .put(LEADER, json!({"node": "a"}));
-                let token = self.store.commit(&txn).ok();
-                self.core.token_raised(token, self.now);
+                let token = self.raise_token(from);
+                self.with_core(from, |core| core.token_raised(token, now));
             }
             Effect::Ended { id, state } => self.told(&id, state),
-            Effect::FindEnds(ids) => self.core.found(self.store.ends(&ids), self.now),
+            Effect::FindEnds(ids) => {
+                let ends = self.store.ends(&ids);
+                self.with_core(from, |core| core.found(ends, now));
+            }
+        }
+    }
+
+    /// Hands something to a controller, if it still lives.
+    pub fn with_core(
+        &mut self,
+        id: u64,
+        act: impl FnOnce(&mut stairstage::coordination::core::Core),
+    ) {
+        if let Some(leader) = self.controller(id) {
+            act(&mut leader.core);
+        }
+    }
+
+    fn raise_token(&mut self, from: u64) -> Option<u64> {
+        let leader = self.controller(from).filter(|l| l.reaches_store)?;
+        let txn = Transaction::default()
+            .version(LEADER, leader.core.token)
+            .put(LEADER, json!({"node": "a"}));
+        self.store.commit(&txn).ok()
+    }
+
+    fn write(&mut self, from: u64, id: u64, transaction: Transaction) {
+        let reaches_store = self.controller(from).is_some_and(|l| l.reaches_store);
+        if !reaches_store {
+            let now = self.now;
+            return self.with_core(from, |core| core.written(id, Written::Refused, now));
+        }
+        if self.network.is_some() {
+            return self.send_write(from, id, transaction);
+        }
+        let fate = std::mem::take(&mut self.next_write);
+        let result = match fate {
+            WriteFate::Answered | WriteFate::Unanswered => self.store.commit(&transaction),
+            WriteFate::Lost | WriteFate::Late => Err(Refusal::Conflict),
+        };
+        self.check_size(&transaction, &result);
+        let written = match (fate, result) {
+            (WriteFate::Answered, Ok(revision)) => Written::Applied(revision),
+            _ => self.store.reread(&transaction),
+        };
+        if fate != WriteFate::Lost {
+            self.late.push(transaction);
+        }
+        let now = self.now;
+        self.with_core(from, |core| core.written(id, written, now));
+    }
+
+    pub fn check_size(&self, transaction: &Transaction, result: &Result<u64, Refusal>) {
+        assert!(
+            *result != Err(Refusal::TooLarge),
+            "too large: {transaction:?}"
+        );
+    }
+
+    /// Direct commands arrive at once, or not at all.
+    fn order_at_once(&mut self, from: u64, machine: &str, orders: &Orders) {
+        let worker = self.worker_named(machine).expect("a machine");
+        // A copy of what is carried out may come again later.
+        self.held.push((machine.to_string(), orders.clone()));
+        let w = &self.workers[worker];
+        let result = if self.holding || w.cut || w.deaf || w.hung {
+            Ordered::Unknown
+        } else {
+            self.ordered(worker, orders)
+        };
+        let now = self.now;
+        self.with_core(from, |core| core.ordered(&machine.into(), result, now));
+    }
+
+    /// Delivers direct commands, and says what their sender hears of it.
+    pub fn ordered(&mut self, worker: usize, orders: &Orders) -> Ordered {
+        match self.deliver(worker, orders) {
+            None => Ordered::NotSent,
+            Some((true, report)) => Ordered::Executed(report),
+            Some((false, report)) => Ordered::Rejected(Some(report)),
         }
     }
 
     /// The cloud has carried out a return.
     pub fn given_back(&mut self, names: &[String]) {
-        let returned = |w: &&mut Worker| names.contains(&w.name);
-        self.workers
-            .iter_mut()
-            .filter(returned)
-            .for_each(Worker::die);
+        let returned = |w: &&mut Worker| names.contains(&w.name) && !w.gone;
+        for w in self.workers.iter_mut().filter(returned) {
+            w.die();
+            self.rentable += usize::from(self.network.is_some());
+        }
     }
 
-    /// A worker sends a report to the leader, or to the one before.
+    /// The cloud rents what it has; the machines are up soon.
+    fn rent(&mut self, rent: &Rent) -> Vec<String> {
+        let count = self.rentable.min(rent.count as usize);
+        self.rentable -= count;
+        let kind = self.types.iter().position(|t| t.name == rent.kind);
+        let zones = super::settings::ZONES;
+        let mut names = Vec::new();
+        for _ in 0..count {
+            let boot_s = self.network.as_mut().map_or(0.0, |n| n.boot_s());
+            let mut w = Worker::new(self.workers.len(), self.now + boot_s);
+            w.kind = ["m4", "g4"][kind.expect("a known type")];
+            w.zone = zones.iter().find(|z| **z == rent.zone).expect("a zone");
+            w.spot = rent.spot;
+            names.push(w.name.clone());
+            self.workers.push(w);
+        }
+        names
+    }
+
+    /// A worker sends a report to the leader, or to the one before, and is answered at once.
     pub fn report(&mut self, i: usize, answer_lost: bool, to_former: bool) {
         let sent = self.now;
         let w = &self.workers[i];
-        if w.gone || w.cut && !(to_former && w.with_former) {
+        if w.gone || w.hung || w.mute || w.cut && !(to_former && w.with_former) {
             return;
         }
-        let doubt_s = self.doubt_s();
-        let core = match (&mut self.former, to_former) {
-            (_, false) => &mut self.core,
-            (Some((former, over)), true) if sent - *over < doubt_s => former,
-            _ => return,
+        let hears = match to_former {
+            true => self.formers.last_mut(),
+            false => self.leader.as_mut(),
+        };
+        let workers = &self.settings.cluster.workers;
+        let Some(leader) = hears.filter(|l| l.may_renew(sent, workers)) else {
+            return;
         };
-        let report = self.workers[i].report();
+        let report = self.workers[i].own_report(sent);
         self.sent.push(report.clone());
-        if let Heard::Answer(answer) = core.report(&report, sent) {
+        if let Heard::Answer(answer) = leader.core.report(&report, sent) {
             let w = &mut self.workers[i];
             if !answer_lost && !w.deaf && answer.token >= w.token {
-                let started = w.take(&answer, sent);
+                let started = w.take(&answer, sent, sent);
                 assert!(
                     !to_former || started.is_empty(),
                     "a leader in doubt starts {started:?}"
                 );
-                self.started(i, started);
+                self.check_starts(i, &started);
             }
         }
     }
--- a/tests/histories/generated.rs
+++ b/tests/histories/generated.rs
@@ -1,28 +1,50 @@
 //! Histories of generated steps.
 
-use super::steps::{step, Step};
-use super::world::World;
+use super::steps::{step, step_with_isolation, world, Step};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 600,
-        rng_seed: RngSeed::Fixed(11),
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
         failure_persistence: None,
         ..ProptestConfig::default()
-    })]
+    }
+}
+
+fn play(steps: Vec<Step>) {
+    let mut world = world();
+    world.submit_number(0, 0, true);
+    for worker in 0..3 {
+        let answer_lost = false;
+        world.apply(Step::Report {
+            worker,
+            answer_lost,
+        });
+    }
+    for step in steps {
+        world.apply(step);
+    }
+    world.heal();
+}
+
+proptest! {
+    #![proptest_config(config(600, 11))]
 
     #[test]
     fn no_history_breaks_a_rule(steps in prop::collection::vec(step(), 20..160)) {
-        let mut world = World::new();
-        world.submit(0, 0, true);
-        for w in 0..3 {
-            world.apply(Step::Report { worker: w, answer_lost: false });
-        }
-        for step in steps {
-            world.apply(step);
-        }
-        world.heal();
+        play(steps);
+    }
+}
+
+proptest! {
+    #![proptest_config(config(300, 12))]
+
+    #[test]
+    fn no_history_of_isolated_leaders_breaks_a_rule(
+        steps in prop::collection::vec(step_with_isolation(), 20..160)
+    ) {
+        play(steps);
     }
 }
--- /dev/null
+++ b/tests/histories/job.rs
@@ -0,0 +1,105 @@
+//! Jobs as their users know them, and the shapes of jobs that histories submit.
+
+use super::common;
+use serde_json::{json, Value};
+use stairstage::protocol::job::{JobSpec, JobState, Kind};
+use std::collections::BTreeSet;
+
+/// What the users and the workers of a history know of an accepted job.
+pub struct Job {
+    pub spec: JobSpec,
+    /// How long its first task runs, and how much longer each further one.
+    pub run_s: f64,
+    pub stagger_s: f64,
+    /// Tasks that have completed.
+    pub done: BTreeSet<u32>,
+    /// When its cancellation was confirmed.
+    pub cancelled_at: Option<f64>,
+    /// The end that users were told.
+    pub told: Option<JobState>,
+}
+
+impl Job {
+    pub fn new(spec: JobSpec, run_s: f64, stagger_s: f64) -> Job {
+        Job {
+            spec,
+            run_s,
+            stagger_s,
+            done: BTreeSet::new(),
+            cancelled_at: None,
+            told: None,
+        }
+    }
+
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == Kind::Service
+    }
+
+    pub fn task_run_s(&self, number: u32) -> f64 {
+        self.run_s + self.stagger_s * f64::from(number)
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.spec.kind == Kind::Gang
+    }
+
+    pub fn is_complete(&self) -> bool {
+        !self.is_service() && self.done.len() == self.spec.tasks as usize
+    }
+}
+
+/// The job and the number of a task.
+pub fn split(task: &str) -> (&str, u32) {
+    let (job, number) = task.rsplit_once('/').expect("a task's name");
+    (job, number.parse().expect("a task's number"))
+}
+
+/// What distinguishes the jobs of a timed history.
+#[derive(Clone, Debug)]
+pub struct JobShape {
+    pub kind: Kind,
+    pub tasks: u32,
+    pub run_s: f64,
+    pub stagger_s: f64,
+    pub team: &'static str,
+    pub zone: Option<&'static str>,
+    pub machine_type: Option<&'static str>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+}
+
+impl Default for JobShape {
+    fn default() -> JobShape {
+        JobShape {
+            kind: Kind::Array,
+            tasks: 1,
+            run_s: 10.0,
+            stagger_s: 0.0,
+            team: "t",
+            zone: None,
+            machine_type: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+        }
+    }
+}
+
+impl JobShape {
+    pub fn submission(&self, id: &str) -> Value {
+        let (rig, precedence) = match self.kind {
+            Kind::Array => ("sweep", "normal"),
+            Kind::Gang => ("group", "normal"),
+            Kind::Service => ("standing", "critical"),
+        };
+        let mut body = common::submission(id, rig, precedence, self.tasks);
+        body["crew"] = json!(self.team);
+        body["berth"] = json!(self.zone);
+        body["hulls"] = json!(self.machine_type.map(|t| [t]));
+        body["same_place"] = json!(self.one_zone);
+        body["spread"] = json!(self.spread);
+        body["driftwood"] = json!(self.spot);
+        body
+    }
+}
--- /dev/null
+++ b/tests/histories/network.rs
@@ -0,0 +1,364 @@
+//! Messages that take time in histories with a clock of their own, and what goes wrong with them.
+
+use super::random::Random;
+use super::worker::RETRY_S;
+use super::world::World;
+use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::coordination::core::{Ordered, Written};
+use stairstage::coordination::state::Name;
+use stairstage::protocol::job::JobState;
+use stairstage::protocol::store::Transaction;
+use stairstage::protocol::worker::*;
+
+/// A sender of direct commands gives up on an answer after this time, and so does one of writes.
+const COMMAND_TIMEOUT_S: f64 = 2.0;
+const WRITE_TIMEOUT_S: f64 = 1.0;
+/// For how long commands, and writes that got no answer, may be held up on their way.
+const LATE_COMMAND_S: (f64, f64) = (2.0, 16.0);
+const LATE_WRITE_S: (f64, f64) = (2.0, 12.0);
+const SLOW_WRITE_S: (f64, f64) = (0.2, 0.9);
+/// Answers to reports may take longer than a worker waits.
+const SLOW_ANSWER_S: (f64, f64) = (0.3, 4.5);
+/// Copies of reports arrive until well over a lease later.
+const LATE_REPORT_S: (f64, f64) = (2.0, 20.0);
+/// How long news of jobs takes to the leader.
+const NEWS_S: (f64, f64) = (0.0, 0.5);
+/// When a machine that was rented is up.
+const BOOT_S: (f64, f64) = (0.5, 2.0);
+
+/// The shares of messages that go wrong, each in its own way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Direct commands that get no answer and are carried out once, late.
+    pub late_commands: f64,
+    /// Direct commands that are carried out at once and get no answer.
+    pub lost_command_answers: f64,
+    /// Reports of which a copy arrives again, after newer ones, at every controller.
+    pub copied_reports: f64,
+    /// Reports of which a copy is kept until the next leader begins, and arrives at every controller.
+    pub kept_reports: f64,
+    /// How soon after the election those arrive, at the least and at the most.
+    pub kept_s: (f64, f64),
+    /// Reports that arrive late, and nowhere before.
+    pub held_reports: f64,
+    /// Answers to reports that are slow, or lost.
+    pub slow_answers: f64,
+    pub lost_answers: f64,
+    /// Writes that are slow, that are carried out at once without an answer, or late.
+    pub slow_writes: f64,
+    pub unanswered_writes: f64,
+    pub late_writes: f64,
+}
+
+/// What is on its way.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Command {
+        machine: String,
+        orders: Orders,
+    },
+    NoCommandAnswer {
+        to: u64,
+        machine: Name,
+    },
+    Report(Report),
+    ReportAnswer {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: f64,
+        answer: ReportAnswer,
+    },
+    Write {
+        transaction: Transaction,
+        answer: Option<AnswerTo>,
+    },
+    NoWriteAnswer {
+        to: AnswerTo,
+        transaction: Transaction,
+    },
+    Opened(Box<OpenRecord>, u64),
+    Ended(String, JobState),
+}
+
+/// The controller and the number of a write.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerTo {
+    pub leader: u64,
+    pub write: u64,
+}
+
+struct Delayed {
+    at: f64,
+    message: Message,
+}
+
+pub struct Network {
+    pub faults: Faults,
+    pub random: Random,
+    delayed: Vec<Delayed>,
+    kept: Vec<Report>,
+}
+
+impl Network {
+    pub fn new(seed: u64) -> Network {
+        Network {
+            faults: Faults::default(),
+            random: Random::new(seed),
+            delayed: Vec::new(),
+            kept: Vec::new(),
+        }
+    }
+
+    pub fn send(&mut self, at: f64, message: Message) {
+        self.delayed.push(Delayed { at, message });
+    }
+
+    fn send_within(&mut self, now: f64, (least, most): (f64, f64), message: Message) {
+        let delay = self.random.between(least, most);
+        self.send(now + delay, message);
+    }
+
+    pub fn boot_s(&mut self) -> f64 {
+        self.random.between(BOOT_S.0, BOOT_S.1)
+    }
+
+    pub fn most_news_delay_s(&self) -> f64 {
+        NEWS_S.1
+    }
+
+    /// What arrives by now, in the order in which it does.
+    fn due(&mut self, now: f64) -> Vec<Message> {
+        let all = std::mem::take(&mut self.delayed);
+        let (mut due, later): (Vec<Delayed>, Vec<Delayed>) =
+            all.into_iter().partition(|d| d.at <= now);
+        self.delayed = later;
+        due.sort_by(|a, b| a.at.total_cmp(&b.at));
+        due.into_iter().map(|d| d.message).collect()
+    }
+
+    /// Copies of a report that arrive besides itself.
+    pub fn copy(&mut self, report: &Report, now: f64) {
+        if self.random.chance(self.faults.copied_reports) {
+            let copy = Message::Report(report.clone());
+            self.send_within(now, LATE_REPORT_S, copy);
+        }
+        if self.random.chance(self.faults.kept_reports) {
+            self.kept.push(report.clone());
+        }
+    }
+
+    /// Whether a report is held up; then it arrives late.
+    pub fn holds(&mut self, report: &Report, now: f64) -> bool {
+        let held = self.random.chance(self.faults.held_reports);
+        if held {
+            let late = Message::Report(report.clone());
+            self.send_within(now, LATE_REPORT_S, late);
+        }
+        held
+    }
+
+    /// Whether the answer to a report is lost; else for how long it is under way.
+    pub fn answer_delay_s(&mut self) -> Option<f64> {
+        if self.random.chance(self.faults.lost_answers) {
+            return None;
+        }
+        let slow = self.random.chance(self.faults.slow_answers);
+        let delay = self.random.between(SLOW_ANSWER_S.0, SLOW_ANSWER_S.1);
+        Some(if slow { delay } else { 0.0 })
+    }
+
+    /// A leader begins: reports that were kept for this moment arrive.
+    pub fn release_kept(&mut self, now: f64) {
+        for report in std::mem::take(&mut self.kept) {
+            self.send_within(now, self.faults.kept_s, Message::Report(report));
+        }
+    }
+
+    fn news(&mut self, now: f64, message: Message) {
+        self.send_within(now, NEWS_S, message);
+    }
+}
+
+impl World {
+    pub fn net(&mut self) -> &mut Network {
+        self.network.as_mut().expect("a timed history")
+    }
+
+    pub fn job_is_news(&mut self, record: OpenRecord, version: u64) {
+        let now = self.now;
+        match &mut self.network {
+            Some(network) => network.news(now, Message::Opened(Box::new(record), version)),
+            None => self.news_arrives(|core| core.job_opened(record, version, 0, now)),
+        }
+    }
+
+    pub fn end_is_news(&mut self, id: &str) {
+        let now = self.now;
+        let state = JobState::Cancelled;
+        match &mut self.network {
+            Some(network) => network.news(now, Message::Ended(id.to_string(), state)),
+            None => self.news_arrives(|core| core.ended(id, state, now)),
+        }
+    }
+
+    /// Sends direct commands; the way there, or back, may be interrupted.
+    pub fn send_orders(&mut self, from: u64, machine: &Name, orders: Orders) {
+        let now = self.now;
+        let Some(i) = self.worker_named(machine) else {
+            return self.with_core(from, |core| core.ordered(machine, Ordered::NotSent, now));
+        };
+        let faults = self.net().faults;
+        let late = self.net().random.chance(faults.late_commands);
+        let answer_lost = self.net().random.chance(faults.lost_command_answers);
+        let w = &mut self.workers[i];
+        if w.is_up(now) && (w.cut || w.deaf || w.hung) {
+            // What a cut holds up, and what comes to a machine that hangs, arrives in the end.
+            if !w.deaf {
+                w.held.push(orders);
+            }
+        } else if late {
+            let machine = machine.to_string();
+            let command = Message::Command { machine, orders };
+            self.net().send_within(now, LATE_COMMAND_S, command);
+        } else {
+            let result = self.ordered(i, &orders);
+            if !answer_lost {
+                return self.with_core(from, |core| core.ordered(machine, result, now));
+            }
+        }
+        let machine = machine.clone();
+        let timeout = Message::NoCommandAnswer { to: from, machine };
+        self.net().send(now + COMMAND_TIMEOUT_S, timeout);
+    }
+
+    /// Sends a write; it may be slow, late or without an answer.
+    pub fn send_write(&mut self, from: u64, id: u64, transaction: Transaction) {
+        let now = self.now;
+        let to = AnswerTo {
+            leader: from,
+            write: id,
+        };
+        let network = self.net();
+        let faults = network.faults;
+        if network.random.chance(faults.slow_writes) {
+            let write = Message::Write {
+                transaction,
+                answer: Some(to),
+            };
+            return network.send_within(now, SLOW_WRITE_S, write);
+        }
+        let late = network.random.chance(faults.late_writes);
+        let unanswered = network.random.chance(faults.unanswered_writes);
+        if late || unanswered {
+            let timeout = Message::NoWriteAnswer {
+                to,
+                transaction: transaction.clone(),
+            };
+            network.send(now + WRITE_TIMEOUT_S, timeout);
+        }
+        if late {
+            let write = Message::Write {
+                transaction,
+                answer: None,
+            };
+            return self.net().send_within(now, LATE_WRITE_S, write);
+        }
+        self.carry_out_write(transaction, (!unanswered).then_some(to));
+    }
+
+    fn carry_out_write(&mut self, transaction: Transaction, answer: Option<AnswerTo>) {
+        let result = self.store.commit(&transaction);
+        self.check_size(&transaction, &result);
+        let written = match result {
+            Ok(revision) => Written::Applied(revision),
+            Err(_) => self.store.reread(&transaction),
+        };
+        let now = self.now;
+        if let Some(to) = answer {
+            self.with_core(to.leader, |core| core.written(to.write, written, now));
+        }
+    }
+
+    /// What was under way arrives.
+    pub fn deliver_due(&mut self) {
+        let now = self.now;
+        for message in self.net().due(now) {
+            self.arrive(message);
+            self.effects();
+        }
+    }
+
+    fn arrive(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Command { machine, orders } => self.command_arrives(&machine, orders),
+            Message::NoCommandAnswer { to, machine } => {
+                self.with_core(to, |core| core.ordered(&machine, Ordered::Unknown, now));
+            }
+            Message::Report(report) => {
+                for leader in self.leader.iter_mut().chain(&mut self.formers) {
+                    leader.core.report(&report, now);
+                }
+            }
+            Message::ReportAnswer {
+                machine,
+                session,
+                seq,
+                sent,
+                answer,
+            } => {
+                let i = self.worker_named(&machine).expect("it has reported");
+                let w = &self.workers[i];
+                let awaited = w.session == session && w.awaited.is_some_and(|a| a.seq == seq);
+                if awaited && !w.hung && w.is_up(now) {
+                    self.accept_answer(i, &answer, sent);
+                }
+            }
+            Message::Write {
+                transaction,
+                answer,
+            } => self.carry_out_write(transaction, answer),
+            Message::NoWriteAnswer { to, transaction } => {
+                let written = self.store.reread(&transaction);
+                self.with_core(to.leader, |core| core.written(to.write, written, now));
+            }
+            Message::Opened(record, version) => self.news_arrives(|core| {
+                core.job_opened(*record, version, 0, now);
+            }),
+            Message::Ended(id, state) => self.news_arrives(|core| core.ended(&id, state, now)),
+        }
+    }
+
+    /// News of jobs comes from the state service.
+    fn news_arrives(&mut self, tell: impl FnOnce(&mut stairstage::coordination::core::Core)) {
+        if let Some(leader) = self.leader.as_mut().filter(|l| l.reaches_store) {
+            tell(&mut leader.core);
+        }
+    }
+
+    fn command_arrives(&mut self, machine: &str, orders: Orders) {
+        let Some(i) = self.worker_named(machine) else {
+            return;
+        };
+        let w = &mut self.workers[i];
+        if w.hung || w.cut {
+            w.held.push(orders);
+        } else {
+            self.deliver(i, &orders);
+        }
+    }
+
+    /// A worker takes the answer to its last report.
+    pub fn accept_answer(&mut self, i: usize, answer: &ReportAnswer, sent: f64) {
+        let now = self.now;
+        let w = &mut self.workers[i];
+        w.awaited = None;
+        if answer.token < w.token {
+            w.next_report = now + RETRY_S;
+            return;
+        }
+        let started = w.take(answer, sent, now);
+        self.check_starts(i, &started);
+    }
+}
--- a/tests/histories/settings.rs
+++ b/tests/histories/settings.rs
@@ -1,5 +1,11 @@
 //! The settings that histories run with.
 
+use super::common;
+use stairstage::protocol::cloud::MachineType;
+
+/// The zones that machines are in.
+pub const ZONES: [&str; 2] = ["z", "y"];
+
 pub const SETTINGS: &str = r#"
 host_name = "a"
 zone = "z"
@@ -13,6 +19,10 @@
 name = "t"
 cpus = 4.0
 cpus_max = 10.0
+[[settings.teams]]
+name = "u"
+cpus = 2.0
+cpus_max = 5.0
 [settings.workers]
 report_s = 2.0
 lease_s = 12.0
@@ -32,3 +42,14 @@
 ram_mb = 100.0
 max_sockets = 500
 "#;
+
+/// Two types of machine of the same size, in both zones.
+pub fn machine_types() -> Vec<MachineType> {
+    ["m4", "g4"]
+        .map(|name| MachineType {
+            name: name.into(),
+            zones: ZONES.map(String::from).to_vec(),
+            ..common::machine_type()
+        })
+        .to_vec()
+}
--- a/tests/histories/steps.rs
+++ b/tests/histories/steps.rs
@@ -1,10 +1,25 @@
 //! What a generated history does, step by step.
 
-use super::world::{job_number, World, JOBS};
+use super::common;
+use super::job::split;
+use super::settings::machine_types;
+use super::worker::{Worker, ANSWER_TIMEOUT_S};
+use super::world::{World, WriteFate};
 use proptest::prelude::*;
+use serde_json::json;
 use stairstage::coordination::core::{Effect, Heard};
 use stairstage::protocol::worker::*;
 
+/// Jobs that a history may submit.
+pub const JOBS: u8 = 9;
+/// What may become of a write.
+const FATES: [WriteFate; 4] = [
+    WriteFate::Answered,
+    WriteFate::Unanswered,
+    WriteFate::Lost,
+    WriteFate::Late,
+];
+
 /// What the generated history does next.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -45,7 +60,7 @@
     Hold(bool),
     Replay(u8),
     /// The next write is applied but unanswered, or lost, or held back.
-    Writes(u8),
+    Writes(WriteFate),
     Cancel(u8),
     /// A job is submitted that waits for those whose bits are set; the node that takes it may look
     /// whether one of them is cancelled.
@@ -76,6 +91,22 @@
     },
     /// The other controllers promise, whose absence keeps leases in doubt.
     Promise,
+    /// The leader loses the state service, and with it the news of cancellations; its lease goes on.
+    Isolate {
+        tenths: u8,
+    },
+    /// Former leaders are told of every cancellation that was confirmed so far.
+    TellFormers,
+    /// Its reports reach no controller, while direct commands reach it.
+    Mute {
+        worker: u8,
+        on: bool,
+    },
+    /// It does not run, and holds back what comes to it, until it resumes.
+    Hang {
+        worker: u8,
+        on: bool,
+    },
 }
 
 pub fn step() -> impl Strategy<Value = Step> {
@@ -92,7 +123,7 @@
         2 => any::<u8>().prop_map(Step::LateWrite),
         2 => any::<bool>().prop_map(Step::Hold),
         2 => any::<u8>().prop_map(Step::Replay),
-        2 => (0u8..4).prop_map(Step::Writes),
+        2 => (0u8..4).prop_map(|i| Step::Writes(FATES[i as usize])),
         2 => (0u8..JOBS).prop_map(Step::Cancel),
         4 => (0u8..JOBS, any::<u16>(), any::<bool>()).prop_map(|(number, waits_on, looks)| Step::Submit { number, waits_on, looks }),
         1 => Just(Step::Production),
@@ -105,39 +136,84 @@
     ]
 }
 
+/// The same, with leaders that lose the state service, workers that reach nobody and machines that
+/// hang.
+pub fn step_with_isolation() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        40 => step(),
+        2 => (0u8..60).prop_map(|tenths| Step::Isolate { tenths }),
+        1 => Just(Step::TellFormers),
+        1 => (0u8..3, any::<bool>()).prop_map(|(worker, on)| Step::Mute { worker, on }),
+        2 => (0u8..3, any::<bool>()).prop_map(|(worker, on)| Step::Hang { worker, on }),
+    ]
+}
+
+/// A history begins with three machines of the first type, in the first zone, and a leader.
+pub fn world() -> World {
+    let workers = (0..3).map(|i| Worker::new(i, 0.0)).collect();
+    let mut world = World::new(machine_types(), workers);
+    world.elect();
+    world
+}
+
 impl World {
+    /// A task completes; those of a gang do so together.
+    fn finish(&mut self, task: &str) {
+        let (id, _) = split(task);
+        let job = self.jobs.get_mut(id).expect("an accepted job");
+        let gang = job.is_gang();
+        for w in self.workers.iter_mut().filter(|w| !w.gone && !w.hung) {
+            for ((name, _), t) in w.tasks.iter_mut() {
+                let same = if gang {
+                    split(name).0 == id
+                } else {
+                    name == task
+                };
+                if same && t.state == TaskState::Running {
+                    t.state = TaskState::Exited;
+                    t.cause = Some(Cause::Done);
+                    job.done.insert(split(name).1);
+                }
+            }
+        }
+        if gang {
+            job.done.extend([0, 1]);
+        }
+    }
+
     /// For longer than a lease, those in the zone that is cut off report to the former leader, which
     /// is there, and the others to the one that was elected.
-    pub fn live_on(&mut self, bits: u8) {
+    fn live_on(&mut self, bits: u8) {
         for _ in 0..8 {
             self.now += self.settings.cluster.workers.report_s;
             for i in 0..self.workers.len() {
                 self.report(i, false, bits & (1 << i) != 0);
             }
-            self.expire();
-            self.core.tick(self.now);
-            self.core.step(self.now);
+            self.pass(0.0);
+            let now = self.now;
+            self.core().tick(now);
+            self.core().step(now);
             self.effects();
         }
     }
 
     /// The leader answers a worker and decides, then stands still for so long. What it had decided
     /// leaves when another leads already; the worker takes no answer after four seconds.
-    pub fn stand_still(&mut self, i: usize, seconds: f64) {
+    fn stand_still(&mut self, i: usize, seconds: f64) {
         let (sent, w) = (self.now, &mut self.workers[i]);
-        let report = (!w.gone && !w.cut).then(|| w.report());
-        let heard = report.as_ref().map(|r| self.core.report(r, sent));
-        self.core.step(sent);
-        let decided = self.core.take_effects();
-        self.now += seconds;
-        self.expire();
+        let speaks = !w.gone && !w.cut && !w.hung && !w.mute;
+        let report = speaks.then(|| w.own_report(sent));
+        let heard = report.as_ref().map(|r| self.core().report(r, sent));
+        self.core().step(sent);
+        let decided = self.core().take_effects();
+        self.pass(seconds);
         self.elect();
         if let (Some(report), Some(Heard::Answer(answer))) = (report, heard) {
             let w = &mut self.workers[i];
             let taken = answer.token >= w.token && report.session == w.session;
-            if taken && seconds < 4.0 && !w.gone && !w.deaf {
-                let started = w.take(&answer, sent);
-                self.started(i, started);
+            if taken && seconds < ANSWER_TIMEOUT_S && !w.gone && !w.deaf {
+                let started = w.take(&answer, sent, self.now);
+                self.check_starts(i, &started);
             }
         }
         for effect in decided {
@@ -149,9 +225,9 @@
                 Effect::Orders {
                     machine, orders, ..
                 } => {
-                    let worker = self.workers.iter().position(|w| *w.name == *machine);
-                    let worker = worker.expect("a machine of this history");
-                    if !self.workers[worker].cut && !self.workers[worker].deaf {
+                    let worker = self.worker_named(&machine).expect("a machine");
+                    let w = &self.workers[worker];
+                    if !w.cut && !w.deaf && !w.hung {
                         self.deliver(worker, &orders);
                     }
                 }
@@ -164,9 +240,9 @@
     pub fn apply(&mut self, step: Step) {
         match step {
             Step::Pass(tenths) => {
-                self.now += f64::from(tenths) / 10.0;
-                self.expire();
-                self.core.tick(self.now);
+                self.pass(f64::from(tenths) / 10.0);
+                let now = self.now;
+                self.core().tick(now);
             }
             Step::Report {
                 worker,
@@ -186,7 +262,8 @@
             Step::Copy(n) => {
                 if !self.sent.is_empty() {
                     let copy = self.sent[n as usize * 7 % self.sent.len()].clone();
-                    self.core.report(&copy, self.now);
+                    let now = self.now;
+                    self.core().report(&copy, now);
                 }
             }
             Step::LateWrite(n) => {
@@ -201,7 +278,7 @@
                     .tasks
                     .iter()
                     .filter(|(_, t)| t.state == TaskState::Running);
-                let ends = |task: &str| job_number(task).is_none_or(|n| n % 3 != 1);
+                let ends = |task: &str| !self.jobs[split(task).0].is_service();
                 if let Some(((task, _), _)) = running.find(|((task, _), _)| ends(task)) {
                     self.finish(&task.clone());
                 }
@@ -219,17 +296,17 @@
             Step::Replay(n) => {
                 if !self.held.is_empty() {
                     let (name, orders) = self.held[n as usize % self.held.len()].clone();
-                    if let Some(worker) = self.workers.iter().position(|w| w.name == name) {
+                    if let Some(worker) = self.worker_named(&name) {
                         self.deliver(worker, &orders);
                     }
                 }
             }
-            Step::Writes(mode) => self.writes = mode,
+            Step::Writes(fate) => self.next_write = fate,
             Step::Submit {
                 number,
                 waits_on,
                 looks,
-            } => self.submit(number, waits_on, looks),
+            } => self.submit_number(number, waits_on, looks),
             Step::Production => {
                 if self.store.value_bytes > self.settings.cluster.state.record_bytes() {
                     self.store.led_by_production(2048);
@@ -242,7 +319,7 @@
                 self.store.value_bytes = (next.value_kb.unwrap() * 1024.0) as usize;
                 self.store.txn_ops = next.txn_ops.unwrap();
             }
-            Step::Cancel(n) => self.cancel(n),
+            Step::Cancel(n) => self.cancel(&format!("req-{n}")),
             Step::NewLeader => self.elect(),
             Step::Fall(bits) => {
                 for (i, w) in self.workers.iter_mut().enumerate() {
@@ -272,11 +349,69 @@
             }
             // Who promises leads no more, nor answers reports.
             Step::Promise => {
-                self.former = None;
-                self.core.promised(self.now);
+                self.formers.clear();
+                let now = self.now;
+                self.core().promised(now);
             }
+            Step::Isolate { tenths } => self.isolate_leader(f64::from(tenths) / 10.0),
+            Step::TellFormers => self.tell_formers(),
+            Step::Mute { worker, on } => self.workers[worker as usize].mute = on,
+            Step::Hang { worker, on: true } => self.workers[worker as usize].hung = true,
+            Step::Hang { worker, on: false } => self.resume(worker as usize),
         }
-        self.core.step(self.now);
+        let now = self.now;
+        self.core().step(now);
         self.effects();
     }
+
+    /// Every third job is an array, a service that outranks the others, or a gang.
+    pub fn submit_number(&mut self, n: u8, waits_on: u16, looks: bool) {
+        let id = format!("req-{n}");
+        let accepted = |id: &String| self.jobs.contains_key(id);
+        let names = (0..JOBS).filter(|i| waits_on & (1 << i) != 0 && i % 3 != 1 && *i != n);
+        // A few at the most, so that some pipelines come to their end.
+        let names = names.map(|i| format!("req-{i}")).filter(accepted).take(2);
+        let names: Vec<String> = names.collect();
+        let (rig, precedence, tasks) = match n % 3 {
+            0 => ("sweep", "normal", 3),
+            1 => ("standing", "critical", 2),
+            _ => ("group", "normal", 2),
+        };
+        let mut body = common::submission(&id, rig, precedence, tasks);
+        body["waits_on"] = json!(names);
+        self.submit(&id, &body, (f64::INFINITY, 0.0), looks);
+    }
+
+    /// Lets everything heal; what was accepted must come to its end.
+    pub fn heal(&mut self) {
+        self.holding = false;
+        self.formers.clear();
+        if self.leader.as_ref().is_some_and(|l| !l.reaches_store) {
+            self.elect();
+        }
+        for service in [1, 4, 7] {
+            self.cancel(&format!("req-{service}"));
+        }
+        for i in 0..600 {
+            for w in 0..3u8 {
+                self.workers[w as usize].cut = false;
+                self.workers[w as usize].deaf = false;
+                self.workers[w as usize].mute = false;
+                self.resume(w as usize);
+                self.apply(Step::Report {
+                    worker: w,
+                    answer_lost: false,
+                });
+                self.apply(Step::Finish { worker: w });
+            }
+            self.apply(Step::Pass(5));
+            // Machines that were given back are replaced.
+            if i % 20 == 0 && self.workers.iter().all(|w| w.gone) {
+                self.workers.push(Worker::new(self.workers.len(), self.now));
+                let last = self.workers.len() - 1;
+                self.workers.swap(0, last);
+            }
+        }
+        self.check_ends();
+    }
 }
--- /dev/null
+++ b/tests/histories/timed.rs
@@ -0,0 +1,357 @@
+//! Histories with a clock of their own: workers report by themselves, tasks end, messages take time.
+
+use super::job::JobShape;
+use super::network::{Faults, Network};
+use super::settings::machine_types;
+use super::worker::{AwaitedAnswer, Worker, ANSWER_TIMEOUT_S, RETRY_S};
+use super::world::World;
+use stairstage::coordination::core::{Effect, Heard};
+use stairstage::protocol::cloud::{ListedMachine, MachineState};
+use stairstage::protocol::job::Kind;
+
+/// Seconds between two moments at which anything happens.
+const TICK_S: f64 = 0.25;
+/// Report intervals differ by up to this share.
+const REPORT_SPREAD: f64 = 0.25;
+/// Seconds between slower decisions of the leader, and between two lists of machines, in ticks.
+const TICKS_A_DECISION: u64 = 4;
+const TICKS_A_LIST: u64 = 16;
+/// Once all troubles are over, every job has come to its end within this time.
+const QUIET_S: f64 = 150.0;
+
+/// Machines of a timed history: the second zone has fewer, and one of them is a spot machine.
+fn fleet() -> Vec<Worker> {
+    let mut fleet: Vec<Worker> = (0..6).map(|i| Worker::new(i, 0.0)).collect();
+    for w in &mut fleet[4..] {
+        w.zone = "y";
+    }
+    fleet[3].kind = "g4";
+    fleet[5].kind = "g4";
+    fleet[5].spot = true;
+    fleet
+}
+
+/// Plays the same history with other random numbers, again and again, each to its end.
+pub fn for_each_seed(seeds: u64, history: impl Fn(&mut World)) {
+    for seed in 0..seeds {
+        let _named = NamedSeed(seed);
+        let mut world = timed_world(seed);
+        history(&mut world);
+        world.settle();
+    }
+}
+
+/// Names the seed of a history that fails.
+struct NamedSeed(u64);
+
+impl Drop for NamedSeed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("the history with seed {} fails", self.0);
+        }
+    }
+}
+
+/// A leader that has heard all machines, which are without work.
+fn timed_world(seed: u64) -> World {
+    let mut world = World::new(machine_types(), fleet());
+    world.network = Some(Network::new(seed));
+    world.elect();
+    world.run_for(3.0);
+    world
+}
+
+impl World {
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.net().faults = faults;
+    }
+
+    pub fn chance(&mut self, share: f64) -> bool {
+        self.net().random.chance(share)
+    }
+
+    pub fn between(&mut self, low: f64, high: f64) -> f64 {
+        self.net().random.between(low, high)
+    }
+
+    /// One of the machines that are there.
+    pub fn some_worker(&mut self) -> usize {
+        let there: Vec<usize> = (0..self.workers.len())
+            .filter(|i| !self.workers[*i].gone)
+            .collect();
+        if there.is_empty() {
+            return 0;
+        }
+        there[self.net().random.below(there.len())]
+    }
+
+    /// Submits a job, and returns its id.
+    pub fn submit_shape(&mut self, shape: &JobShape) -> String {
+        let id = format!("req-{}", self.jobs.len());
+        let run_s = (shape.run_s, shape.stagger_s);
+        self.submit(&id, &shape.submission(&id), run_s, false);
+        id
+    }
+
+    pub fn cancel_some(&mut self, share: f64) {
+        let open = self.jobs.iter().filter(|(_, j)| j.cancelled_at.is_none());
+        let ids: Vec<String> = open.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            if self.chance(share) {
+                self.cancel(&id);
+            }
+        }
+    }
+
+    pub fn run_for(&mut self, seconds: f64) {
+        let ticks = (seconds / TICK_S).ceil() as u64;
+        for _ in 0..ticks {
+            self.pass(TICK_S);
+            self.deliver_due();
+            self.progress();
+            for i in 0..self.workers.len() {
+                self.let_report(i);
+            }
+            self.let_controllers_decide();
+        }
+    }
+
+    fn let_controllers_decide(&mut self) {
+        let now = self.now;
+        let tick = (now / TICK_S).round() as u64;
+        let list = (tick % TICKS_A_LIST == 0).then(|| self.machine_list());
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        if let Some(list) = list {
+            leader.core.listed(&list, now);
+        }
+        if tick % TICKS_A_DECISION == 0 {
+            leader.core.tick(now);
+        }
+        leader.core.step(now);
+        let deposed = leader.core.deposed;
+        for former in &mut self.formers {
+            former.core.step(now);
+            let effects = former.core.take_effects();
+            let acts = |e: &Effect| matches!(e, Effect::Orders { .. } | Effect::Write { .. });
+            assert!(
+                !effects.iter().any(acts),
+                "a former leader acts: {effects:?}"
+            );
+        }
+        let workers = &self.settings.cluster.workers;
+        self.formers.retain(|l| l.may_renew(now, workers));
+        self.effects();
+        if deposed {
+            self.replace_leader();
+        }
+    }
+
+    /// The cloud's list, which lags.
+    fn machine_list(&self) -> Vec<ListedMachine> {
+        let lag_s = self.settings.cluster.cloud.list_lag_s;
+        let listed = self.workers.iter().filter(|w| !w.gone);
+        let listed = listed.filter(|w| self.now - w.up_at > lag_s);
+        let item = |w: &Worker| ListedMachine {
+            name: w.name.clone(),
+            endpoint: Some("127.0.0.1:9".into()),
+            kind: w.kind.into(),
+            zone: w.zone.into(),
+            spot: w.spot,
+            state: MachineState::Running,
+            age_s: self.now - w.up_at,
+        };
+        listed.map(item).collect()
+    }
+
+    /// A worker reports if it is time to.
+    fn let_report(&mut self, i: usize) {
+        let now = self.now;
+        let w = &mut self.workers[i];
+        if !w.is_up(now) || w.hung {
+            return;
+        }
+        if let Some(awaited) = w.awaited {
+            if now - awaited.sent > ANSWER_TIMEOUT_S {
+                w.awaited = None;
+                w.next_report = now + RETRY_S;
+            }
+        } else if now >= w.next_report {
+            self.send_report(i);
+        }
+    }
+
+    fn send_report(&mut self, i: usize) {
+        let now = self.now;
+        let report_s = self.settings.cluster.workers.report_s;
+        let spread = self.between(1.0 - REPORT_SPREAD, 1.0 + REPORT_SPREAD);
+        let w = &mut self.workers[i];
+        let report = w.own_report(now);
+        w.next_report = now + report_s * spread;
+        let awaited = AwaitedAnswer {
+            seq: report.seq,
+            sent: now,
+        };
+        let (deaf, session) = (w.deaf, w.session);
+        let Some(hears) = self.hearer(i) else {
+            self.workers[i].next_report = now + RETRY_S;
+            return;
+        };
+        self.net().copy(&report, now);
+        if self.net().holds(&report, now) {
+            self.workers[i].awaited = Some(awaited);
+            return;
+        }
+        let leader = self.controller(hears).expect("it hears");
+        let Heard::Answer(answer) = leader.core.report(&report, now) else {
+            self.workers[i].next_report = now + RETRY_S;
+            return;
+        };
+        self.workers[i].awaited = Some(awaited);
+        match self.net().answer_delay_s() {
+            Some(0.0) if !deaf => self.accept_answer(i, &answer, now),
+            Some(delay_s) if !deaf => {
+                let message = super::network::Message::ReportAnswer {
+                    machine: report.machine,
+                    session,
+                    seq: report.seq,
+                    sent: now,
+                    answer,
+                };
+                self.net().send(now + delay_s, message);
+            }
+            _ => {}
+        }
+        self.effects();
+    }
+
+    /// The controller that answers a worker's reports.
+    fn hearer(&self, i: usize) -> Option<u64> {
+        let w = &self.workers[i];
+        let heard = match (w.cut, w.with_former) {
+            _ if w.mute => None,
+            (true, true) => self.formers.last(),
+            (true, false) => None,
+            (false, _) => self.leader.as_ref(),
+        };
+        let workers = &self.settings.cluster.workers;
+        heard
+            .filter(|l| l.may_renew(self.now, workers))
+            .map(|l| l.id())
+    }
+
+    /// The leader ends, and nobody leads until the next election.
+    pub fn end_leader(&mut self) {
+        self.leader = None;
+    }
+
+    /// Another controller leads; the former leader is out of reach, or in doubt.
+    pub fn replace_leader(&mut self) {
+        self.elect();
+        let now = self.now;
+        self.net().release_kept(now);
+    }
+
+    /// Ends the leader and has another elected some time later.
+    pub fn change_leader(&mut self, after_s: f64) {
+        self.end_leader();
+        self.run_for(after_s);
+        self.replace_leader();
+    }
+
+    /// Machines of a zone, or all but those, are cut off.
+    pub fn cut_zone(&mut self, zone: &str, with_former: bool) {
+        for w in self.workers.iter_mut().filter(|w| w.zone == zone) {
+            w.cut = true;
+            w.with_former = with_former;
+        }
+    }
+
+    pub fn reconnect(&mut self, i: usize) {
+        let w = &mut self.workers[i];
+        w.cut = false;
+        w.with_former = false;
+        w.deaf = false;
+        w.mute = false;
+        if !w.hung {
+            let held = std::mem::take(&mut w.held);
+            self.hand_out(i, &held);
+        }
+    }
+
+    pub fn resume(&mut self, i: usize) {
+        if self.workers[i].hung {
+            let now = self.now;
+            let held = self.workers[i].resume(now);
+            self.hand_out(i, &held);
+        }
+    }
+
+    /// What was held up arrives in order; nobody waits for its answer any more.
+    fn hand_out(&mut self, i: usize, held: &[stairstage::protocol::worker::Orders]) {
+        for orders in held {
+            self.deliver(i, orders);
+        }
+    }
+
+    pub fn reconnect_all(&mut self) {
+        for i in 0..self.workers.len() {
+            self.resume(i);
+            self.reconnect(i);
+        }
+    }
+
+    /// All troubles are over: every job that nobody has cancelled comes to its end.
+    pub fn settle(&mut self) {
+        self.set_faults(Faults::default());
+        self.cloud_is_down = false;
+        self.reconnect_all();
+        self.rentable += self.workers.iter().filter(|w| w.gone).count();
+        if self.leader.as_ref().is_none_or(|l| !l.reaches_store) {
+            self.replace_leader();
+        }
+        self.formers.clear();
+        let services = self.jobs.iter().filter(|(_, j)| j.is_service());
+        for id in services.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.cancel(&id);
+        }
+        let until = self.now + QUIET_S;
+        while self.now < until
+            && !self
+                .store
+                .under(stairstage::bookkeeping::records::OPEN)
+                .is_empty()
+        {
+            self.run_for(1.0);
+        }
+        self.check_ends();
+    }
+
+    /// Submits jobs of any shape.
+    pub fn submit_some(&mut self, count: usize) {
+        for _ in 0..count {
+            let shape = self.some_shape();
+            self.submit_shape(&shape);
+        }
+    }
+
+    /// A job of any shape that these machines can run.
+    pub fn some_shape(&mut self) -> JobShape {
+        let random = &mut self.net().random;
+        let zones = [None, None, Some("z"), Some("y")];
+        let kind = [Kind::Array, Kind::Array, Kind::Gang, Kind::Service][random.below(4)];
+        JobShape {
+            kind,
+            tasks: 1 + random.below(4) as u32,
+            run_s: random.between(2.0, 25.0),
+            stagger_s: 0.0,
+            team: ["t", "u"][random.below(2)],
+            zone: zones[random.below(4)],
+            machine_type: None,
+            one_zone: random.chance(0.3),
+            spread: false,
+            spot: random.chance(0.7),
+        }
+    }
+}
--- a/tests/histories/worker.rs
+++ b/tests/histories/worker.rs
@@ -5,34 +5,63 @@
 
 /// Processors of a machine.
 pub const CPUS: f64 = 4.0;
+/// A worker takes no answer to a report after this time, and tries the next node a second later.
+pub const ANSWER_TIMEOUT_S: f64 = 4.0;
+pub const RETRY_S: f64 = 1.0;
+/// A worker sends no two reports within this time.
+const LEAST_REPORT_PAUSE_S: f64 = 0.5;
 
 #[derive(Clone)]
-pub struct OnWorker {
+pub struct TaskOnWorker {
     pub state: TaskState,
     pub cause: Option<Cause>,
+    pub since: f64,
+}
+
+/// A report that its worker waits to have answered.
+#[derive(Clone, Copy)]
+pub struct AwaitedAnswer {
+    pub seq: u64,
+    pub sent: f64,
 }
 
-/// A machine with its worker, as the protocol describes them.
 pub struct Worker {
     pub name: String,
+    pub kind: &'static str,
+    pub zone: &'static str,
+    pub spot: bool,
+    /// When it is up, and its worker begins to report.
+    pub up_at: f64,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
     /// By task and attempt.
-    pub tasks: BTreeMap<(String, u64), OnWorker>,
+    pub tasks: BTreeMap<(String, u64), TaskOnWorker>,
+    /// When the last answered report was sent; infinite once its lease is over while it hangs.
     pub renewed: f64,
     /// Cut off from the controllers; from all but the former leader, which is in its zone; heard, but
-    /// out of reach; or gone for good.
+    /// out of reach; in reach of direct commands, but not heard; hanging; or gone for good.
     pub cut: bool,
     pub with_former: bool,
     pub deaf: bool,
+    pub mute: bool,
+    pub hung: bool,
     pub gone: bool,
+    /// Direct commands that arrive once it runs again, or is no longer cut off.
+    pub held: Vec<Orders>,
+    pub next_report: f64,
+    last_report: f64,
+    pub awaited: Option<AwaitedAnswer>,
 }
 
 impl Worker {
     pub fn new(number: usize, now: f64) -> Worker {
         Worker {
             name: format!("m-{number}"),
+            kind: "m4",
+            zone: "z",
+            spot: false,
+            up_at: now,
             session: 1,
             seq: 0,
             token: 0,
@@ -41,7 +70,13 @@
             cut: false,
             with_former: false,
             deaf: false,
+            mute: false,
+            hung: false,
             gone: false,
+            held: Vec::new(),
+            next_report: now,
+            last_report: f64::NEG_INFINITY,
+            awaited: None,
         }
     }
 
@@ -60,11 +95,52 @@
         self.tasks.clear();
     }
 
+    pub fn is_up(&self, now: f64) -> bool {
+        !self.gone && now >= self.up_at
+    }
+
+    /// Its lease is over: it has killed and forgotten every task. One that hangs does so before
+    /// anything else once it runs again; until then its tasks stand still for good.
+    pub fn expire(&mut self, now: f64) {
+        self.session += 1;
+        self.tasks.clear();
+        self.awaited = None;
+        self.renewed = if self.hung { f64::INFINITY } else { now };
+        self.report_change(now);
+    }
+
+    /// It runs again; what was held back meanwhile is handed out.
+    pub fn resume(&mut self, now: f64) -> Vec<Orders> {
+        self.hung = false;
+        if self.renewed == f64::INFINITY {
+            self.renewed = now;
+        }
+        self.next_report = now;
+        std::mem::take(&mut self.held)
+    }
+
+    /// Something has changed, which it reports soon.
+    pub fn report_change(&mut self, now: f64) {
+        let soon = now.max(self.last_report + LEAST_REPORT_PAUSE_S);
+        self.next_report = self.next_report.min(soon);
+    }
+
     /// Takes an answer to the report that it sent then; returns the tasks that started.
-    pub fn take(&mut self, answer: &ReportAnswer, sent: f64) -> Vec<String> {
+    pub fn take(&mut self, answer: &ReportAnswer, sent: f64, now: f64) -> Vec<String> {
         self.token = answer.token;
         self.renewed = sent;
-        self.run(&answer.commands)
+        self.run(&answer.commands, now)
+    }
+
+    /// Whether it executes direct commands.
+    pub fn accepts(&self, orders: &Orders) -> bool {
+        orders.token >= self.token && orders.session == self.session
+    }
+
+    /// A report of its own; one that answers a direct command has a later number too.
+    pub fn own_report(&mut self, now: f64) -> Report {
+        self.last_report = now;
+        self.report()
     }
 
     pub fn report(&mut self) -> Report {
@@ -72,9 +148,9 @@
         Report {
             machine: self.name.clone(),
             endpoint: "127.0.0.1:9".into(),
-            kind: "m4".into(),
-            zone: "z".into(),
-            spot: false,
+            kind: self.kind.into(),
+            zone: self.zone.into(),
+            spot: self.spot,
             session: self.session,
             seq: self.seq,
             token: self.token,
@@ -101,8 +177,16 @@
         live.map(|((task, _), _)| task)
     }
 
+    pub fn exit(&mut self, key: &(String, u64), cause: Cause, now: f64) {
+        if let Some(task) = self.tasks.get_mut(key) {
+            task.state = TaskState::Exited;
+            task.cause = Some(cause);
+            self.report_change(now);
+        }
+    }
+
     /// Runs commands; returns the tasks that started.
-    pub fn run(&mut self, commands: &[Command]) -> Vec<String> {
+    pub fn run(&mut self, commands: &[Command], now: f64) -> Vec<String> {
         let mut started = Vec::new();
         for command in commands {
             match command {
@@ -112,8 +196,12 @@
                     if self.tasks.contains_key(&key) || full || self.live().any(|t| t == task) {
                         continue;
                     }
-                    let state = TaskState::Running;
-                    self.tasks.insert(key, OnWorker { state, cause: None });
+                    let on_worker = TaskOnWorker {
+                        state: TaskState::Running,
+                        cause: None,
+                        since: now,
+                    };
+                    self.tasks.insert(key, on_worker);
                     started.push(task.clone());
                 }
                 Command::Stop { task, attempt, .. } => {
@@ -135,6 +223,9 @@
                 }
             }
         }
+        if !commands.is_empty() {
+            self.report_change(now);
+        }
         started
     }
 }
--- a/tests/histories/world.rs
+++ b/tests/histories/world.rs
@@ -1,166 +1,194 @@
 //! The state service, the workers and the controllers of a history, and what users ask of them.
 
 use super::common::{self, Refusal, Store};
+use super::job::{split, Job};
+use super::leader::Leader;
+use super::network::Network;
 use super::settings::SETTINGS;
-use super::steps::Step;
+use super::tasks::GangRun;
 use super::worker::Worker;
-use serde_json::json;
+use serde_json::{json, Value};
 use stairstage::bookkeeping::records::*;
 use stairstage::coordination::core::Core;
+use stairstage::protocol::cloud::MachineType;
 use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::Transaction;
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Jobs that a history may submit.
-pub const JOBS: u8 = 9;
-
-/// The number that a job or one of its tasks bears.
-pub fn job_number(name: &str) -> Option<u8> {
-    name.strip_prefix("req-")?.split('/').next()?.parse().ok()
+/// What becomes of a write.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum WriteFate {
+    #[default]
+    Answered,
+    /// It is carried out at once; only its answer is lost.
+    Unanswered,
+    Lost,
+    /// It is carried out later, if its conditions still hold then.
+    Late,
 }
 
 pub struct World {
     pub now: f64,
     pub settings: Arc<Settings>,
+    pub types: Vec<MachineType>,
     pub store: Store,
     pub workers: Vec<Worker>,
-    pub core: Core,
-    /// The leader before, and when its lease was over.
-    pub former: Option<(Core, f64)>,
+    /// Nobody leads for a while after a leader has ended.
+    pub leader: Option<Leader>,
+    /// Earlier leaders that may still answer reports, the last one last.
+    pub formers: Vec<Leader>,
     /// Every report that was sent, and transactions that may be carried out late.
     pub sent: Vec<Report>,
     pub late: Vec<Transaction>,
     pub held: Vec<(String, Orders)>,
     pub holding: bool,
-    pub writes: u8,
-    pub done: BTreeMap<String, BTreeSet<u32>>,
-    pub cancelled: BTreeMap<String, f64>,
-    pub ended: BTreeMap<String, JobState>,
-    /// What each accepted job waits for.
-    pub waits_on: BTreeMap<String, Vec<String>>,
+    pub next_write: WriteFate,
+    pub jobs: BTreeMap<String, Job>,
+    /// What takes time, in histories that have a clock of their own.
+    pub network: Option<Network>,
+    pub gang_runs: BTreeMap<(String, u64), GangRun>,
+    /// Machines that the cloud still has to rent, and whether it refuses all requests.
+    pub rentable: usize,
+    pub cloud_is_down: bool,
 }
 
 impl World {
-    pub fn new() -> World {
-        let settings = Arc::new(Settings::parse("test", SETTINGS).unwrap());
-        let workers = (0..3).map(|i| Worker::new(i, 0.0)).collect();
-        let mut world = World {
+    pub fn new(types: Vec<MachineType>, workers: Vec<Worker>) -> World {
+        World {
             now: 0.0,
-            core: Core::new(settings.clone(), 0, 0.0),
-            settings,
+            settings: Arc::new(Settings::parse("test", SETTINGS).unwrap()),
+            types,
             store: Store::default(),
             workers,
-            former: None,
+            leader: None,
+            formers: Vec::new(),
             sent: Vec::new(),
             late: Vec::new(),
             held: Vec::new(),
             holding: false,
-            writes: 0,
-            done: BTreeMap::new(),
-            cancelled: BTreeMap::new(),
-            ended: BTreeMap::new(),
-            waits_on: BTreeMap::new(),
-        };
-        world.elect();
-        world
+            next_write: WriteFate::Answered,
+            jobs: BTreeMap::new(),
+            network: None,
+            gang_runs: BTreeMap::new(),
+            rentable: 0,
+            cloud_is_down: false,
+        }
     }
 
+    /// A controller is elected; who has led until now loses the state service, if it still lives.
     pub fn elect(&mut self) {
+        if let Some(lease_end) = self.isolated_until() {
+            self.pass((lease_end - self.now).max(0.0));
+        }
         let txn = Transaction::default().put(LEADER, json!({"node": "a"}));
         let token = self.store.commit(&txn).unwrap();
         let mut core = Core::new(self.settings.clone(), token, self.now);
-        core.set_types(vec![common::machine_type()]);
+        core.set_types(self.types.clone());
         core.valid_until = f64::INFINITY;
         core.recover(self.store.records(), 0, self.now);
-        let mut former = std::mem::replace(&mut self.core, core);
-        former.valid_until = self.now;
-        self.former = Some((former, self.now));
+        if let Some(mut former) = self.leader.replace(Leader::new(core)) {
+            former.core.valid_until = former.core.valid_until.min(self.now);
+            former.cut_off(self.known_until());
+            self.formers.push(former);
+        }
+        let (now, workers) = (self.now, &self.settings.cluster.workers);
+        self.formers.retain(|l| l.may_renew(now, workers));
         self.effects();
     }
 
-    pub fn tasks_of(job: &str) -> usize {
-        match job_number(job).is_some_and(|n| n % 3 == 2) {
-            true => 2,
-            false => 3,
+    /// When the lease of a leader is over that has lost the state service.
+    fn isolated_until(&self) -> Option<f64> {
+        let isolated = self.leader.as_ref().filter(|l| !l.reaches_store);
+        isolated.map(|l| l.core.valid_until)
+    }
+
+    /// The leader loses the state service; its lease there goes on for a while.
+    pub fn isolate_leader(&mut self, lease_s: f64) {
+        let (known_until, now) = (self.known_until(), self.now);
+        if let Some(leader) = self.leader.as_mut().filter(|l| l.reaches_store) {
+            leader.cut_off(known_until);
+            leader.core.valid_until = now + lease_s;
         }
     }
 
-    pub fn is_complete(&self, job: &str) -> bool {
-        self.done.get(job).map_or(0, BTreeSet::len) == Self::tasks_of(job)
+    /// The moment up to which a controller that reaches the state service knows of everything.
+    pub fn known_until(&self) -> f64 {
+        let delay_s = self
+            .network
+            .as_ref()
+            .map_or(0.0, Network::most_news_delay_s);
+        self.now - delay_s
     }
 
-    /// Whether the user of a job, or of one that it needs, has cancelled it.
-    pub fn is_taken_back(&self, job: &str) -> bool {
-        let needs = self.waits_on.get(job).into_iter().flatten();
-        self.cancelled.contains_key(job) || needs.into_iter().any(|n| self.is_taken_back(n))
-    }
-
-    /// A task completes; those of a gang do so together.
-    pub fn finish(&mut self, task: &str) {
-        let (job, _) = task.rsplit_once('/').unwrap();
-        let gang = job_number(task).is_some_and(|n| n % 3 == 2);
-        let done = self.done.entry(job.to_string()).or_default();
-        for w in self.workers.iter_mut().filter(|w| !w.gone) {
-            for ((name, _), t) in w.tasks.iter_mut() {
-                let same = if gang {
-                    name.starts_with(&format!("{job}/"))
-                } else {
-                    name == task
-                };
-                if same && t.state == TaskState::Running {
-                    t.state = TaskState::Exited;
-                    t.cause = Some(Cause::Done);
-                    done.insert(name.rsplit_once('/').unwrap().1.parse().unwrap());
-                }
+    /// Earlier leaders are told of every cancellation that was confirmed so far.
+    pub fn tell_formers(&mut self) {
+        let cancelled = self.jobs.iter().filter(|(_, j)| j.cancelled_at.is_some());
+        for former in &mut self.formers {
+            for (id, _) in cancelled.clone() {
+                former.core.ended(id, JobState::Cancelled, self.now);
             }
+            former.core.take_effects();
+            former.knew_at = self.now;
         }
-        if gang {
-            done.extend([0, 1]);
-        }
     }
 
-    pub fn doubt_s(&self) -> f64 {
-        let workers = &self.settings.cluster.workers;
-        0.85 * (workers.cancel_s - workers.lease_s)
+    /// The controller whose leadership has this id, if it still lives.
+    pub fn controller(&mut self, id: u64) -> Option<&mut Leader> {
+        let mut all = self.leader.iter_mut().chain(&mut self.formers);
+        all.find(|l| l.id() == id)
+    }
+
+    pub fn core(&mut self) -> &mut Core {
+        &mut self.leader.as_mut().expect("somebody leads").core
+    }
+
+    pub fn is_complete(&self, job: &str) -> bool {
+        self.jobs.get(job).is_some_and(Job::is_complete)
+    }
+
+    /// Whether the user of a job, or of one that it needs, has cancelled it.
+    pub fn is_taken_back(&self, id: &str) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let mut needs = job.spec.waits_on.iter();
+        job.cancelled_at.is_some() || needs.any(|n| self.is_taken_back(n))
     }
 
+    /// The leases of workers that were not renewed end.
     pub fn expire(&mut self) {
         let lease_s = self.settings.cluster.workers.lease_s;
-        for w in self
-            .workers
-            .iter_mut()
-            .filter(|w| self.now - w.renewed > lease_s)
-        {
-            w.session += 1;
-            w.tasks.clear();
-            w.renewed = self.now;
+        for i in 0..self.workers.len() {
+            let over_at = self.workers[i].renewed + lease_s;
+            if self.now > over_at && self.workers[i].is_up(self.now) {
+                self.check_rest_of_cancelled(&self.workers[i], over_at);
+                self.workers[i].expire(self.now);
+            }
         }
     }
 
-    /// Every third job is an array, a service that outranks the others, or a gang.
-    pub fn submit(&mut self, n: u8, waits_on: u16, looks: bool) {
-        let id = format!("req-{n}");
-        let accepted = |id: &String| self.waits_on.contains_key(id);
-        let names = (0..JOBS).filter(|i| waits_on & (1 << i) != 0 && i % 3 != 1 && *i != n);
-        // A few at the most, so that some pipelines come to their end.
-        let names = names.map(|i| format!("req-{i}")).filter(accepted).take(2);
-        let names: Vec<String> = names.collect();
-        let (rig, precedence, tasks) = match n % 3 {
-            0 => ("sweep", "normal", 3),
-            1 => ("standing", "critical", 2),
-            _ => ("group", "normal", 2),
-        };
-        let mut body = common::submission(&id, rig, precedence, tasks);
-        body["waits_on"] = json!(names);
-        let spec = common::parsed(&body);
-        let record = OpenRecord::accepted(spec, 0);
+    /// Time passes without reports; leases that are not renewed end.
+    pub fn pass(&mut self, seconds: f64) {
+        self.now += seconds;
+        self.expire();
+        for w in &self.workers {
+            self.check_rest_of_cancelled(w, self.now);
+        }
+    }
+
+    /// A submission by way of any node. `run_s`: how long the first task runs, and each further one
+    /// longer; `looks`: the node checks whether what the job needs is cancelled.
+    pub fn submit(&mut self, id: &str, body: &Value, run_s: (f64, f64), looks: bool) {
+        let spec = common::parsed(body);
+        let names = spec.waits_on.clone();
+        let record = OpenRecord::accepted(spec.clone(), 0);
         let txn = Transaction::default()
-            .absent(open_key(&id))
-            .absent(end_key(&id))
-            .put(open_key(&id), serde_json::to_value(&record).unwrap());
+            .absent(open_key(id))
+            .absent(end_key(id))
+            .put(open_key(id), serde_json::to_value(&record).unwrap());
         let ended = |id: &String| self.store.item(&end_key(id)).map(|i| i.value);
         if looks
             && names
@@ -168,80 +196,57 @@
                 .any(|n| ended(n).is_some_and(|v| v["state"] == "cancelled"))
         {
             let txn = Transaction::default()
-                .absent(open_key(&id))
-                .absent(end_key(&id))
-                .put(end_key(&id), json!({"state": "cancelled"}));
+                .absent(open_key(id))
+                .absent(end_key(id))
+                .put(end_key(id), json!({"state": "cancelled"}));
             if self.store.commit(&txn).is_ok() {
-                self.waits_on.insert(id.clone(), names);
-                self.core.ended(&id, JobState::Cancelled, self.now);
+                self.jobs
+                    .insert(id.to_string(), Job::new(spec, run_s.0, run_s.1));
+                self.end_is_news(id);
             }
             return;
         }
         if let Ok(version) = self.commit_of_a_node(&txn) {
-            self.waits_on.insert(id, names);
-            self.core.job_opened(record, version, 0, self.now);
+            self.jobs
+                .insert(id.to_string(), Job::new(spec, run_s.0, run_s.1));
+            self.job_is_news(record, version);
         }
     }
 
-    pub fn cancel(&mut self, n: u8) {
-        let id = format!("req-{n}");
-        let Some(item) = self.store.item(&open_key(&id)) else {
+    /// A cancellation by way of any node.
+    pub fn cancel(&mut self, id: &str) {
+        let Some(item) = self.store.item(&open_key(id)) else {
             return;
         };
         let mut record: OpenRecord = serde_json::from_value(item.value).unwrap();
         record.cancelled = true;
         let txn = Transaction::default()
-            .absent(end_key(&id))
-            .version(open_key(&id), item.version)
-            .put(end_key(&id), json!({"state":"cancelled"}))
-            .put(open_key(&id), serde_json::to_value(&record).unwrap());
+            .absent(end_key(id))
+            .version(open_key(id), item.version)
+            .put(end_key(id), json!({"state":"cancelled"}))
+            .put(open_key(id), serde_json::to_value(&record).unwrap());
         if self.commit_of_a_node(&txn).is_ok() {
-            self.cancelled.insert(id.clone(), self.now);
-            self.core.ended(&id, JobState::Cancelled, self.now);
+            let job = self.jobs.get_mut(id).expect("an accepted job");
+            job.cancelled_at = Some(self.now);
+            self.end_is_news(id);
         }
     }
 
     /// What nodes write for users has other bounds than these histories', which are narrow so that
     /// the leader's records are cut often.
-    pub fn commit_of_a_node(&mut self, txn: &Transaction) -> Result<u64, Refusal> {
+    fn commit_of_a_node(&mut self, txn: &Transaction) -> Result<u64, Refusal> {
         let narrow = std::mem::replace(&mut self.store.value_bytes, usize::MAX);
         let result = self.store.commit(txn);
         self.store.value_bytes = narrow;
         result
     }
 
-    /// Lets everything heal; what was accepted must come to its end.
-    pub fn heal(&mut self) {
-        self.holding = false;
-        self.former = None;
-        for service in [1, 4, 7] {
-            self.cancel(service);
-        }
-        for i in 0..600 {
-            for w in 0..3u8 {
-                self.workers[w as usize].cut = false;
-                self.workers[w as usize].deaf = false;
-                self.apply(Step::Report {
-                    worker: w,
-                    answer_lost: false,
-                });
-                self.apply(Step::Finish { worker: w });
-            }
-            self.apply(Step::Pass(5));
-            // Machines that were given back are replaced.
-            if i % 20 == 0 && self.workers.iter().all(|w| w.gone) {
-                self.workers.push(Worker::new(self.workers.len(), self.now));
-                let last = self.workers.len() - 1;
-                self.workers.swap(0, last);
-            }
-        }
+    /// Every job has come to its end: done, or cancelled if somebody asked for that.
+    pub fn check_ends(&self) {
         let open = self.store.under(OPEN);
-        assert!(
-            open.is_empty(),
-            "never ended: {:?}",
-            open.iter().map(|i| &i.key).collect::<Vec<_>>()
-        );
-        for id in self.waits_on.keys() {
+        let open: Vec<String> = open.iter().map(|i| self.describe(&i.key)).collect();
+        assert!(open.is_empty(), "never ended: {open:#?}");
+        for id in self.jobs.keys() {
             let end = self.store.item(&end_key(id)).expect("recorded").value;
             let expected = match self.is_taken_back(id) {
                 true => "cancelled",
@@ -250,4 +255,19 @@
             assert_eq!(end["state"], expected, "orphaned, or lost: {id}");
         }
     }
+
+    /// A job that is still open, and where its tasks are.
+    fn describe(&self, key: &str) -> String {
+        let id = key.strip_prefix(OPEN).expect("the key of an open job");
+        let job = &self.jobs[id];
+        let mut tasks = Vec::new();
+        for w in self.workers.iter().filter(|w| !w.gone) {
+            let of_job = w.tasks.iter().filter(|((task, _), _)| split(task).0 == id);
+            tasks.extend(of_job.map(|((task, _), t)| (task, t.state, &w.name)));
+        }
+        format!(
+            "{:?}, done {:?}, cancelled {:?}, now at {tasks:?}",
+            job.spec, job.done, job.cancelled_at
+        )
+    }
 }
