A worker that sends no reports gets no new work, though it answers commands

Cause: an answer to a direct command counts as hearing from a worker, so one whose reports reach no controller stayed in use. Commands don't renew its lease: whatever was started there was killed within lease_s, and was started there again, for as long as the trouble lasted.

Change: new work goes only where a report was answered of late; a machine whose own reports are missing for longer than a lease is returned like a silent one.

--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -131,9 +131,13 @@
         // While nobody is heard, the silence of a machine says nothing about it.
         let since = self.leads_since.max(self.hears_since);
         let deaf = now - self.last_heard > self.deaf_s();
-        // One that heeds no answer is as good as silent, though it is heard.
+        let lease_s = self.settings.cluster.workers.lease_s * DRIFT;
+        // One that heeds no answer is as good as silent, though it is heard. So is one that answers
+        // commands but sends no reports, once that has cost it its lease.
         let quiet_s = |m: &Machine| {
             let last = m.heard.unwrap_or(m.rented);
+            let mute = now - m.answered > lease_s;
+            let last = if mute { last.min(m.answered) } else { last };
             let last = m.deaf_since.map_or(last, |t| t.min(last));
             now - last.max(since)
         };
@@ -156,7 +160,7 @@
         // been answered for a lease has lost its tasks anyway, and a picture that holds nothing but
         // machines that are gone must come to an end.
         let many = deaf || silent.len() * 2 > up.max(2);
-        let lost_s = self.settings.cluster.workers.lease_s * DRIFT + silence_s;
+        let lost_s = lease_s + silence_s;
         self.up = up;
         let falls = mute > FALL_LEAST.max((FALL_SHARE * up as f64) as usize);
         self.fall = falls.then(|| self.fall.unwrap_or(mute_since));
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -159,7 +159,8 @@
 
     /// Whether new tasks may be placed on it. A report alone is no sign that the worker hears us:
     /// it may be a late copy, or the way to the worker may be cut. So it must have shown a token
-    /// of this leadership, unless nobody else can have spoken to it.
+    /// of this leadership, unless nobody else can have spoken to it. Answers to direct commands do
+    /// not renew its lease, so it must have sent reports of its own of late.
     pub fn takes_tasks(&self, now: Time, silence_s: f64, first_token: u64) -> bool {
         self.phase == Phase::Up
             && !self.quarantined
@@ -170,5 +171,6 @@
             && self.taken_at.is_none()
             && self.endpoint.is_some()
             && self.heard.is_some_and(|t| now - t < silence_s)
+            && now - self.answered < silence_s
     }
 }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -449,3 +449,49 @@
     let (deleted, _) = decided(&mut core, 2.5);
     assert_eq!(deleted, ["open/req-2"]);
 }
+
+#[test]
+fn a_worker_that_answers_commands_but_sends_no_reports_gets_no_work_and_is_returned() {
+    let mut core = core();
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    answered(&mut core, &worker_report("m-2", 1, 1, vec![]), 0.0);
+    let (mut on_first, mut on_second) = (Vec::new(), Vec::new());
+    let mut returned = Vec::new();
+    for second in 1..40 {
+        let now = f64::from(second);
+        let number = 1 + second as u64;
+        // The first goes on reporting; the second only answers commands, and loses its leases.
+        let running = shown(&on_first, TaskState::Running, None);
+        core.report(&worker_report("m-1", number, 1, running), now);
+        if second == 8 {
+            submit(&mut core, "req-1", "sweep", "normal", None, 1);
+            submit(&mut core, "req-2", "sweep", "normal", None, 2);
+        }
+        core.tick(now);
+        carry_out(&mut core, now, |core, effect| match effect {
+            Effect::Orders {
+                machine, orders, ..
+            } => {
+                match machine.as_ref() {
+                    "m-2" => on_second.extend(starts(&orders.commands)),
+                    _ => on_first.extend(starts(&orders.commands)),
+                }
+                let mut after = worker_report(&machine, 1000 + number, 1, vec![]);
+                after.session = 1 + second as u64 / 12;
+                let result = match machine.as_ref() {
+                    "m-2" => Ordered::Executed(after),
+                    _ => Ordered::NotSent,
+                };
+                core.ordered(&machine, result, now);
+            }
+            Effect::Return(names) => {
+                core.returned(&names, true, now);
+                returned.extend(names);
+            }
+            _ => {}
+        });
+    }
+    assert_eq!(on_first.len(), 4);
+    assert!(on_second.is_empty(), "{on_second:?}");
+    assert_eq!(returned, ["m-2"]);
+}
