Histories: teams at their limits throughout, and nothing left waiting for 90 s

Cause: with little work, a start too many broke no limit, and a job could wait unseen.

Change: small jobs keep both teams at their limits in all timed histories; once the troubles are over, no job that could run waits for more than 90 s. Copies of reports arrive up to 30 s late.

--- a/tests/histories/checks.rs
+++ b/tests/histories/checks.rs
@@ -1,14 +1,24 @@
 //! The rules of the protocol, checked whenever a task starts, time passes or a job's end is told.
 
 use super::job::{split, Job};
-use super::worker::Worker;
+use super::worker::{Worker, CPUS};
 use super::world::World;
 use serde_json::json;
 use stairstage::bookkeeping::records::*;
 use stairstage::coordination::state::Name;
-use stairstage::protocol::job::JobState;
+use stairstage::protocol::job::{JobSpec, JobState};
 use std::collections::BTreeMap;
 
+/// Seconds that a job may be left waiting though it could run, once all troubles are over.
+const LONGEST_WAIT_S: f64 = 90.0;
+
+/// Whether a description lets its tasks use a machine, by its type, zone and kind.
+fn allows(spec: &JobSpec, w: &Worker) -> bool {
+    let kind = spec.types.iter().all(|t| t.iter().any(|t| t == w.kind));
+    let zone = spec.zone.iter().all(|z| z == w.zone);
+    kind && zone && (spec.spot || !w.spot)
+}
+
 impl World {
     /// Checks the starts of tasks on a worker, which are there already.
     pub fn check_starts(&self, worker: usize, tasks: &[String]) {
@@ -40,13 +50,12 @@
     /// Type, zone and kind of the machine, and the zones of the job's other tasks at this moment.
     fn check_place(&self, w: &Worker, task: &str, job: &Job) {
         let spec = &job.spec;
-        let kind_allowed = spec.types.iter().all(|t| t.iter().any(|t| t == w.kind));
-        assert!(kind_allowed, "wrong_place: {task} on type {}", w.kind);
-        let zone_allowed = spec.zone.iter().all(|z| z == w.zone);
-        assert!(zone_allowed, "wrong_place: {task} in zone {}", w.zone);
         assert!(
-            spec.spot || !w.spot,
-            "wrong_place: {task} on a spot machine"
+            allows(spec, w),
+            "wrong_place: {task} on {} in {}, spot: {}",
+            w.kind,
+            w.zone,
+            w.spot
         );
         let mut in_zone: BTreeMap<&str, u32> = BTreeMap::new();
         for other in self.workers.iter().filter(|w| !w.gone) {
@@ -69,6 +78,13 @@
 
     /// What is on a machine counts, whether the machine hangs, is cut off or is heard.
     fn check_quota(&self) {
+        for (team, cpus) in self.team_use() {
+            let most = self.settings.team(team).expect("a known team").cpus_max;
+            assert!(cpus <= most, "quota: {team} has {cpus} CPUs in use");
+        }
+    }
+
+    fn team_use(&self) -> BTreeMap<&str, f64> {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         for w in self.workers.iter().filter(|w| !w.gone) {
             for task in w.live() {
@@ -76,10 +92,64 @@
                 *used.entry(&spec.team).or_default() += spec.cpus;
             }
         }
-        for (team, cpus) in used {
-            let most = self.settings.team(team).expect("a known team").cpus_max;
-            assert!(cpus <= most, "quota: {team} has {cpus} CPUs in use");
+        used
+    }
+
+    /// Once all troubles are over, no job is left waiting for long while its team is under its limit
+    /// and machines that fit have room.
+    pub fn check_nothing_left_waiting(&mut self) {
+        let able: Vec<String> = self
+            .jobs
+            .keys()
+            .filter(|id| self.could_run(id))
+            .cloned()
+            .collect();
+        let now = self.now;
+        self.could_run_since.retain(|id, _| able.contains(id));
+        for id in able {
+            let since = *self.could_run_since.entry(id.clone()).or_insert(now);
+            assert!(
+                now - since <= LONGEST_WAIT_S,
+                "left waiting: {}",
+                self.describe(&id)
+            );
+        }
+    }
+
+    /// Whether no task of an open job is on a machine, though it could begin.
+    fn could_run(&self, id: &str) -> bool {
+        let job = &self.jobs[id];
+        let there = self.workers.iter().filter(|w| !w.gone);
+        let runs = there.clone().any(|w| w.live().any(|t| split(t).0 == id));
+        if job.told.is_some() || job.is_complete() || runs || self.is_taken_back(id) {
+            return false;
+        }
+        let spec = &job.spec;
+        let tasks = if job.is_gang() { spec.tasks } else { 1 };
+        let used = self.team_use().get(&*spec.team).copied().unwrap_or(0.0);
+        let most = self
+            .settings
+            .team(&spec.team)
+            .expect("a known team")
+            .cpus_max;
+        if used + f64::from(tasks) * spec.cpus > most {
+            return false;
+        }
+        let mut free: BTreeMap<&str, u32> = BTreeMap::new();
+        for w in there.filter(|w| allows(spec, w)) {
+            *free.entry(w.zone).or_default() += CPUS as u32 - w.live().count() as u32;
         }
+        let most_in_zone = if spec.spread {
+            spec.tasks.div_ceil(2)
+        } else {
+            tasks
+        };
+        let slots = free.values().map(|n| *n.min(&most_in_zone));
+        let room: u32 = match spec.one_zone {
+            true => slots.max().unwrap_or(0),
+            false => slots.sum(),
+        };
+        room >= tasks
     }
 
     /// No task of a cancelled job is left on the machine at `until`, if that is too late.
--- a/tests/histories/combinations.rs
+++ b/tests/histories/combinations.rs
@@ -41,7 +41,7 @@
         world.set_faults(faults);
         for _ in 0..4 {
             world.submit_some(3);
-            world.run_for(8.0);
+            world.run_busy(8.0);
             world.cancel_some(0.1);
             world.change_leader(2.0);
         }
@@ -59,7 +59,7 @@
         world.set_faults(faults);
         for _ in 0..5 {
             world.submit_some(3);
-            world.run_for(9.0);
+            world.run_busy(9.0);
             world.cancel_some(0.1);
             world.replace_leader();
         }
@@ -77,13 +77,15 @@
         world.rentable = 2;
         for _ in 0..4 {
             world.submit_some(3);
-            // Some lose their lease, so that copies come from earlier sessions and attempts.
-            let i = world.some_worker();
-            world.workers[i].cut = true;
-            world.cloud_is_down = world.chance(0.5);
-            world.run_for(14.0);
-            world.reconnect(i);
-            world.cloud_is_down = false;
+            world.run_busy(3.0);
+            // The machines of one zone, or all, lose their lease: copies come from earlier sessions and attempts.
+            match world.chance(0.5) {
+                true => world.cut_zone("y", false),
+                false => world.workers.iter_mut().for_each(|w| w.cut = true),
+            }
+            world.run_busy(14.0);
+            world.reconnect_all();
+            world.run_busy(8.0);
             world.cancel_some(0.1);
             if world.chance(0.5) {
                 world.replace_leader();
@@ -103,7 +105,7 @@
         world.set_faults(faults);
         for i in 0..6 {
             world.submit_some(3);
-            world.run_for(6.0);
+            world.run_busy(6.0);
             world.cancel_some(0.2);
             match i % 3 {
                 0 => world.replace_leader(),
@@ -125,7 +127,7 @@
         world.set_faults(faults);
         for _ in 0..10 {
             world.submit_some(2);
-            world.run_for(4.0);
+            world.run_busy(4.0);
             world.cancel_some(0.15);
         }
     });
@@ -156,13 +158,13 @@
                     ..JobShape::default()
                 });
             }
-            world.run_for(5.0);
+            world.run_busy(5.0);
             let i = world.some_worker();
             match world.chance(0.5) {
                 true => world.workers[i].die(),
                 false => world.workers[i].cut = true,
             }
-            world.run_for(3.0);
+            world.run_busy(3.0);
             if world.chance(0.3) {
                 world.replace_leader();
             }
@@ -184,7 +186,7 @@
         }
         for _ in 0..4 {
             let until_change = world.between(2.0, 10.0);
-            world.run_for(until_change);
+            world.run_busy(until_change);
             world.change_leader(1.0);
         }
     });
@@ -195,14 +197,14 @@
     for_each_seed(SEEDS, |world| {
         for zone in ["z", "y"] {
             world.submit_some(8);
-            world.run_for(6.0);
+            world.run_busy(6.0);
             world.cloud_is_down = world.chance(0.5);
             world.isolate_leader(LEADER_LEASE_S);
             world.cancel_some(0.2);
             world.cut_zone(zone, true);
             world.replace_leader();
             for _ in 0..10 {
-                world.run_for(4.0);
+                world.run_busy(4.0);
                 world.cancel_some(0.1);
                 if world.chance(0.2) {
                     world.tell_formers();
@@ -225,7 +227,7 @@
         for _ in 0..3 {
             world.submit_shape(&long);
             world.submit_some(2);
-            world.run_for(6.0);
+            world.run_busy(6.0);
             for _ in 0..3 {
                 let i = world.some_worker();
                 match world.chance(0.5) {
@@ -236,7 +238,7 @@
             world.cloud_is_down = world.chance(0.5);
             world.change_leader(1.0);
             let away_s = world.between(3.0, 20.0);
-            world.run_for(away_s);
+            world.run_busy(away_s);
             world.reconnect_all();
             world.cloud_is_down = false;
         }
@@ -256,7 +258,7 @@
                 });
             }
         }
-        world.run_for(5.0);
+        world.run_busy(5.0);
         for _ in 0..4 {
             for _ in 0..2 {
                 let i = world.some_worker();
@@ -273,10 +275,10 @@
             }
             world.cancel_some(0.1);
             let away_s = world.between(3.0, 18.0);
-            world.run_for(away_s);
+            world.run_busy(away_s);
             world.reconnect_all();
             world.cloud_is_down = false;
-            world.run_for(2.0);
+            world.run_busy(2.0);
         }
     });
 }
@@ -291,12 +293,12 @@
                 world.workers[i].mute = true;
             }
             world.cloud_is_down = world.chance(0.5);
-            world.run_for(9.0);
+            world.run_busy(9.0);
             world.cancel_some(0.2);
             if world.chance(0.5) {
                 world.change_leader(1.0);
             }
-            world.run_for(9.0);
+            world.run_busy(9.0);
             world.cloud_is_down = false;
             if world.chance(0.5) {
                 world.reconnect_all();
@@ -327,10 +329,10 @@
                 });
             }
             let until_change = world.between(1.0, 6.0);
-            world.run_for(until_change);
+            world.run_busy(until_change);
             world.cancel_some(0.1);
             world.change_leader(1.0);
-            world.run_for(4.0);
+            world.run_busy(4.0);
         }
     });
 }
@@ -340,19 +342,19 @@
     for_each_seed(SEEDS, |world| {
         for _ in 0..5 {
             world.submit_some(4);
-            world.run_for(6.0);
+            world.run_busy(6.0);
             world.cancel_some(0.2);
             match world.chance(0.5) {
                 true => world.end_leader(),
                 false => world.isolate_leader(LEADER_LEASE_S),
             }
             for _ in 0..4 {
-                world.run_for(0.5);
+                world.run_busy(0.5);
                 world.cancel_some(0.1);
             }
             world.replace_leader();
             for _ in 0..4 {
-                world.run_for(0.5);
+                world.run_busy(0.5);
                 world.cancel_some(0.1);
             }
         }
@@ -371,11 +373,11 @@
         world.set_faults(faults);
         for _ in 0..3 {
             world.submit_some(4);
-            world.run_for(6.0);
+            world.run_busy(6.0);
             world.end_leader();
             world.cancel_some(0.2);
             let away_s = world.between(10.0, 30.0);
-            world.run_for(away_s);
+            world.run_busy(away_s);
             world.cancel_some(0.2);
             world.replace_leader();
         }
@@ -392,16 +394,16 @@
         world.set_faults(faults);
         for _ in 0..5 {
             world.submit_some(4);
-            world.run_for(4.0);
+            world.run_busy(4.0);
             world.cloud_is_down = world.chance(0.7);
             for _ in 0..2 {
                 let i = world.some_worker();
                 world.workers[i].hung = true;
             }
-            world.run_for(1.0);
+            world.run_busy(1.0);
             world.cancel_some(0.2);
             let hangs_s = world.between(1.0, 16.0);
-            world.run_for(hangs_s);
+            world.run_busy(hangs_s);
             if world.chance(0.3) {
                 world.replace_leader();
             }
@@ -448,7 +450,7 @@
                 _ => world.reconnect_all(),
             }
             let calm_s = world.between(0.5, 8.0);
-            world.run_for(calm_s);
+            world.run_busy(calm_s);
         }
     });
 }
--- a/tests/histories/network.rs
+++ b/tests/histories/network.rs
@@ -20,7 +20,7 @@
 /// Answers to reports may take longer than a worker waits.
 const SLOW_ANSWER_S: (f64, f64) = (0.3, 4.5);
 /// Copies of reports arrive until well over a lease later.
-const LATE_REPORT_S: (f64, f64) = (2.0, 20.0);
+const LATE_REPORT_S: (f64, f64) = (2.0, 30.0);
 /// How long news of jobs takes to the leader.
 const NEWS_S: (f64, f64) = (0.0, 0.5);
 /// When a machine that was rented is up.
--- a/tests/histories/timed.rs
+++ b/tests/histories/timed.rs
@@ -16,6 +16,9 @@
 /// Seconds between slower decisions of the leader, and between two lists of machines, in ticks.
 const TICKS_A_DECISION: u64 = 4;
 const TICKS_A_LIST: u64 = 16;
+/// Open jobs that keep the teams at their limits, and the share of small ones that is cancelled.
+const SMALL_JOBS: usize = 16;
+const CANCELLED_SHARE: f64 = 0.25;
 /// Once all troubles are over, every job has come to its end within this time.
 const QUIET_S: f64 = 150.0;
 
@@ -116,6 +119,39 @@
         }
     }
 
+    /// The same, while small jobs keep the teams at their limits, and some are cancelled at once.
+    pub fn run_busy(&mut self, seconds: f64) {
+        let until = self.now + seconds;
+        while self.now < until {
+            while self.open_jobs() < SMALL_JOBS {
+                let shape = self.small_shape();
+                let id = self.submit_shape(&shape);
+                if self.chance(CANCELLED_SHARE) {
+                    self.run_for(TICK_S);
+                    self.cancel(&id);
+                }
+            }
+            self.run_for(TICK_S);
+        }
+    }
+
+    fn open_jobs(&self) -> usize {
+        let open = self.jobs.values();
+        open.filter(|j| j.told.is_none() && j.cancelled_at.is_none() && !j.is_complete())
+            .count()
+    }
+
+    fn small_shape(&mut self) -> JobShape {
+        let random = &mut self.net().random;
+        JobShape {
+            tasks: 1 + random.below(2) as u32,
+            run_s: random.between(0.5, 5.0),
+            team: ["t", "u"][random.below(2)],
+            one_zone: random.chance(0.2),
+            ..JobShape::default()
+        }
+    }
+
     fn let_controllers_decide(&mut self) {
         let now = self.now;
         let tick = (now / TICK_S).round() as u64;
@@ -256,7 +292,7 @@
     /// Ends the leader and has another elected some time later.
     pub fn change_leader(&mut self, after_s: f64) {
         self.end_leader();
-        self.run_for(after_s);
+        self.run_busy(after_s);
         self.replace_leader();
     }
 
@@ -324,6 +360,7 @@
                 .is_empty()
         {
             self.run_for(1.0);
+            self.check_nothing_left_waiting();
         }
         self.check_ends();
     }
--- a/tests/histories/world.rs
+++ b/tests/histories/world.rs
@@ -53,6 +53,8 @@
     /// Machines that the cloud still has to rent, and whether it refuses all requests.
     pub rentable: usize,
     pub cloud_is_down: bool,
+    /// Since when jobs wait that could run, once all troubles are over.
+    pub could_run_since: BTreeMap<String, f64>,
 }
 
 impl World {
@@ -75,6 +77,7 @@
             gang_runs: BTreeMap::new(),
             rentable: 0,
             cloud_is_down: false,
+            could_run_since: BTreeMap::new(),
         }
     }
 
@@ -244,7 +247,12 @@
     /// Every job has come to its end: done, or cancelled if somebody asked for that.
     pub fn check_ends(&self) {
         let open = self.store.under(OPEN);
-        let open: Vec<String> = open.iter().map(|i| self.describe(&i.key)).collect();
+        let id = |key: &str| {
+            key.strip_prefix(OPEN)
+                .expect("the key of a job")
+                .to_string()
+        };
+        let open: Vec<String> = open.iter().map(|i| self.describe(&id(&i.key))).collect();
         assert!(open.is_empty(), "never ended: {open:#?}");
         for id in self.jobs.keys() {
             let end = self.store.item(&end_key(id)).expect("recorded").value;
@@ -257,8 +265,7 @@
     }
 
     /// A job that is still open, and where its tasks are.
-    fn describe(&self, key: &str) -> String {
-        let id = key.strip_prefix(OPEN).expect("the key of an open job");
+    pub fn describe(&self, id: &str) -> String {
         let job = &self.jobs[id];
         let mut tasks = Vec::new();
         for w in self.workers.iter().filter(|w| !w.gone) {
