Histories: direct commands that take their time, and cancellations while launches are under way

Cause: commands were answered at once or never, so that hardly any launch left with an answer to a report alone; and small jobs were cancelled before they were placed.

Change: a share of commands and of their answers takes up to a second, and any open job may be cancelled at any moment.

--- a/tests/histories/combinations.rs
+++ b/tests/histories/combinations.rs
@@ -70,6 +70,7 @@
 fn old_reports_arrive_after_newer_ones() {
     let faults = Faults {
         copied_reports: 0.5,
+        late_commands: 0.2,
         ..Faults::default()
     };
     for_each_seed(SEEDS, |world| {
@@ -98,6 +99,7 @@
 fn direct_commands_are_carried_out_late() {
     let faults = Faults {
         late_commands: 0.4,
+        slow_commands: 0.3,
         lost_command_answers: 0.2,
         ..Faults::default()
     };
@@ -120,7 +122,8 @@
 fn commands_overtake_slow_answers_to_reports() {
     let faults = Faults {
         slow_answers: 0.5,
-        lost_command_answers: 0.2,
+        slow_commands: 0.7,
+        lost_command_answers: 0.1,
         ..Faults::default()
     };
     for_each_seed(SEEDS, |world| {
@@ -416,6 +419,7 @@
 #[test]
 fn troubles_of_every_kind_follow_each_other() {
     let faults = Faults {
+        slow_commands: 0.3,
         late_commands: 0.1,
         lost_command_answers: 0.05,
         copied_reports: 0.1,
--- a/tests/histories/job.rs
+++ b/tests/histories/job.rs
@@ -43,6 +43,10 @@
         self.spec.kind == Kind::Gang
     }
 
+    pub fn is_open(&self) -> bool {
+        self.told.is_none() && self.cancelled_at.is_none() && !self.is_complete()
+    }
+
     pub fn is_complete(&self) -> bool {
         !self.is_service() && self.done.len() == self.spec.tasks as usize
     }
--- a/tests/histories/network.rs
+++ b/tests/histories/network.rs
@@ -14,6 +14,7 @@
 const COMMAND_TIMEOUT_S: f64 = 2.0;
 const WRITE_TIMEOUT_S: f64 = 1.0;
 /// For how long commands, and writes that got no answer, may be held up on their way.
+const SLOW_COMMAND_S: (f64, f64) = (0.1, 0.9);
 const LATE_COMMAND_S: (f64, f64) = (2.0, 16.0);
 const LATE_WRITE_S: (f64, f64) = (2.0, 12.0);
 const SLOW_WRITE_S: (f64, f64) = (0.2, 0.9);
@@ -29,6 +30,8 @@
 /// The shares of messages that go wrong, each in its own way.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
+    /// Direct commands that take their time, and so do their answers.
+    pub slow_commands: f64,
     /// Direct commands that get no answer and are carried out once, late.
     pub late_commands: f64,
     /// Direct commands that are carried out at once and get no answer.
@@ -51,15 +54,18 @@
 }
 
 /// What is on its way.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Message {
     Command {
-        machine: String,
+        machine: Name,
         orders: Orders,
+        /// Who still waits for its answer.
+        answer_to: Option<u64>,
     },
-    NoCommandAnswer {
+    CommandAnswer {
         to: u64,
         machine: Name,
+        result: Ordered,
     },
     Report(Report),
     ReportAnswer {
@@ -211,16 +217,24 @@
         let faults = self.net().faults;
         let late = self.net().random.chance(faults.late_commands);
         let answer_lost = self.net().random.chance(faults.lost_command_answers);
+        let slow = self.net().random.chance(faults.slow_commands);
         let w = &mut self.workers[i];
         if w.is_up(now) && (w.cut || w.deaf || w.hung) {
             // What a cut holds up, and what comes to a machine that hangs, arrives in the end.
             if !w.deaf {
                 w.held.push(orders);
             }
-        } else if late {
-            let machine = machine.to_string();
-            let command = Message::Command { machine, orders };
-            self.net().send_within(now, LATE_COMMAND_S, command);
+        } else if late || slow {
+            let command = Message::Command {
+                machine: machine.clone(),
+                orders,
+                answer_to: (!late).then_some(from),
+            };
+            let delay_s = if late { LATE_COMMAND_S } else { SLOW_COMMAND_S };
+            self.net().send_within(now, delay_s, command);
+            if !late {
+                return;
+            }
         } else {
             let result = self.ordered(i, &orders);
             if !answer_lost {
@@ -228,7 +242,11 @@
             }
         }
         let machine = machine.clone();
-        let timeout = Message::NoCommandAnswer { to: from, machine };
+        let timeout = Message::CommandAnswer {
+            to: from,
+            machine,
+            result: Ordered::Unknown,
+        };
         self.net().send(now + COMMAND_TIMEOUT_S, timeout);
     }
 
@@ -292,10 +310,16 @@
     fn arrive(&mut self, message: Message) {
         let now = self.now;
         match message {
-            Message::Command { machine, orders } => self.command_arrives(&machine, orders),
-            Message::NoCommandAnswer { to, machine } => {
-                self.with_core(to, |core| core.ordered(&machine, Ordered::Unknown, now));
-            }
+            Message::Command {
+                machine,
+                orders,
+                answer_to,
+            } => self.command_arrives(&machine, orders, answer_to),
+            Message::CommandAnswer {
+                to,
+                machine,
+                result,
+            } => self.with_core(to, |core| core.ordered(&machine, result, now)),
             Message::Report(report) => {
                 for leader in self.leader.iter_mut().chain(&mut self.formers) {
                     leader.core.report(&report, now);
@@ -337,15 +361,24 @@
         }
     }
 
-    fn command_arrives(&mut self, machine: &str, orders: Orders) {
-        let Some(i) = self.worker_named(machine) else {
-            return;
-        };
+    fn command_arrives(&mut self, machine: &Name, orders: Orders, answer_to: Option<u64>) {
+        let now = self.now;
+        let i = self.worker_named(machine).expect("a machine");
         let w = &mut self.workers[i];
-        if w.hung || w.cut {
+        let (result, delay_s) = if w.hung || w.cut {
             w.held.push(orders);
+            (Ordered::Unknown, (COMMAND_TIMEOUT_S, COMMAND_TIMEOUT_S))
         } else {
-            self.deliver(i, &orders);
+            (self.ordered(i, &orders), SLOW_COMMAND_S)
+        };
+        if let Some(to) = answer_to {
+            let machine = machine.clone();
+            let answer = Message::CommandAnswer {
+                to,
+                machine,
+                result,
+            };
+            self.net().send_within(now, delay_s, answer);
         }
     }
 
--- a/tests/histories/timed.rs
+++ b/tests/histories/timed.rs
@@ -16,9 +16,9 @@
 /// Seconds between slower decisions of the leader, and between two lists of machines, in ticks.
 const TICKS_A_DECISION: u64 = 4;
 const TICKS_A_LIST: u64 = 16;
-/// Open jobs that keep the teams at their limits, and the share of small ones that is cancelled.
+/// Open jobs that keep the teams at their limits, and the share of ticks in which one is cancelled.
 const SMALL_JOBS: usize = 16;
-const CANCELLED_SHARE: f64 = 0.25;
+const CANCELLED_SHARE: f64 = 0.15;
 /// Once all troubles are over, every job has come to its end within this time.
 const QUIET_S: f64 = 150.0;
 
@@ -125,20 +125,27 @@
         while self.now < until {
             while self.open_jobs() < SMALL_JOBS {
                 let shape = self.small_shape();
-                let id = self.submit_shape(&shape);
-                if self.chance(CANCELLED_SHARE) {
-                    self.run_for(TICK_S);
-                    self.cancel(&id);
-                }
+                self.submit_shape(&shape);
+            }
+            if self.chance(CANCELLED_SHARE) {
+                self.cancel_one();
             }
             self.run_for(TICK_S);
         }
     }
 
     fn open_jobs(&self) -> usize {
-        let open = self.jobs.values();
-        open.filter(|j| j.told.is_none() && j.cancelled_at.is_none() && !j.is_complete())
-            .count()
+        self.jobs.values().filter(|j| j.is_open()).count()
+    }
+
+    /// The user of some open job cancels it: as likely as not, its tasks are just being launched.
+    fn cancel_one(&mut self) {
+        let open = self.jobs.iter().filter(|(_, j)| j.is_open());
+        let ids: Vec<String> = open.map(|(id, _)| id.clone()).collect();
+        if !ids.is_empty() {
+            let i = self.net().random.below(ids.len());
+            self.cancel(&ids[i]);
+        }
     }
 
     fn small_shape(&mut self) -> JobShape {
