Histories: replicas that only the end of their lease ends, in a zone with the former leader

Change: two replicas run in the zone that is cut off, and are cancelled as the leader loses the state service.

--- a/tests/histories/combinations.rs
+++ b/tests/histories/combinations.rs
@@ -199,10 +199,18 @@
 fn a_zone_with_the_former_leader_is_cut_off_for_longer_than_a_lease() {
     for_each_seed(SEEDS, |world| {
         for zone in ["z", "y"] {
+            let service = world.submit_shape(&JobShape {
+                kind: Kind::Service,
+                tasks: 2,
+                zone: Some(zone),
+                ..JobShape::default()
+            });
             world.submit_some(8);
             world.run_busy(6.0);
             world.cloud_is_down = world.chance(0.5);
             world.isolate_leader(LEADER_LEASE_S);
+            // The replicas run on in the zone, and only the end of their lease ends them.
+            world.cancel(&service);
             world.cancel_some(0.2);
             world.cut_zone(zone, true);
             world.replace_leader();
