--- /dev/null
+++ b/tests/shortfall.rs
@@ -0,0 +1,74 @@
+//! Jobs that no machine at hand could ever hold: a machine is rented for them, however little work
+//! there is.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::coordination::core::{Core, Effect};
+use stairstage::protocol::cloud::{MachineType, Rent};
+
+/// A fleet of one machine in zone `z`; the only type is offered in two zones.
+fn one_machine() -> Core {
+    let mut core = core();
+    core.set_types(vec![MachineType {
+        zones: vec!["z".into(), "y".into()],
+        ..machine_type()
+    }]);
+    report(&mut core, 1, Vec::new(), 0.0);
+    core
+}
+
+/// What is rented within a few seconds for a job, described by what differs from a plain one.
+fn rented(core: &mut Core, rig: &str, tasks: u32, differs: &[(&str, Value)]) -> Vec<Rent> {
+    let mut body = submission("req-1", rig, "normal", tasks);
+    for (field, value) in differs {
+        body[*field] = value.clone();
+    }
+    core.job_opened(OpenRecord::accepted(parsed(&body), 0), 1, 0, 0.0);
+    let mut rents = Vec::new();
+    for second in 1..5 {
+        let now = f64::from(second);
+        report(core, 1 + second as u64, Vec::new(), now);
+        core.tick(now);
+        carry_out(core, now, |_, effect| {
+            if let Effect::Rent(rent) = effect {
+                rents.push(rent);
+            }
+        });
+    }
+    rents
+}
+
+#[test]
+fn a_job_that_fits_the_machine_at_hand_rents_none() {
+    let rents = rented(&mut one_machine(), "sweep", 1, &[]);
+    assert!(rents.is_empty(), "{rents:?}");
+}
+
+#[test]
+fn a_job_bound_to_a_zone_without_machines_gets_one_there() {
+    let rents = rented(&mut one_machine(), "sweep", 1, &[("berth", json!("y"))]);
+    assert_eq!(rents.len(), 1, "{rents:?}");
+    assert_eq!((rents[0].zone.as_str(), rents[0].count), ("y", 1));
+}
+
+#[test]
+fn a_spread_gang_gets_a_machine_in_another_zone() {
+    let rents = rented(&mut one_machine(), "group", 2, &[("spread", json!(true))]);
+    assert_eq!(rents.len(), 1, "{rents:?}");
+    assert_eq!((rents[0].zone.as_str(), rents[0].count), ("y", 1));
+}
+
+#[test]
+fn a_gang_that_is_larger_than_the_fleet_gets_the_room_it_lacks() {
+    let rents = rented(
+        &mut one_machine(),
+        "group",
+        8,
+        &[("same_place", json!(true))],
+    );
+    assert_eq!(rents.len(), 1, "{rents:?}");
+    assert_eq!((rents[0].zone.as_str(), rents[0].count), ("z", 1));
+}
