--- /dev/null
+++ b/src/service/controller/reports.rs
@@ -0,0 +1,122 @@
+//! How workers' reports are answered, and what is known of cancellations when they are.
+
+use super::{Controller, Role};
+use crate::coordination::cancellations::{CancellationEvidence, PeerAnswer};
+use crate::coordination::core::Heard;
+use crate::coordination::Time;
+use crate::protocol::job::JobState;
+use crate::protocol::worker::{Elsewhere, Report};
+use crate::service::gateway::{self, Task};
+use crate::transport::{Reply, Respond};
+use tracing::warn;
+
+/// Questions to each other controller about cancellations in a report interval.
+const CANCELLATION_QUERIES: f64 = 4.0;
+
+impl Controller {
+    /// Answers a worker's report. An answer renews the worker's lease, so that none is given while a
+    /// confirmed cancellation may be unknown here for too long: see [`CancellationEvidence`].
+    pub(super) fn report(
+        &mut self,
+        report: Report,
+        body: Vec<u8>,
+        passed_on: bool,
+        respond: Respond,
+    ) {
+        self.take_own_cancellations();
+        let now = self.now();
+        let renews = self.evidence.may_renew(&self.settings.cluster.workers, now);
+        let Role::Leading(core) = &mut self.role else {
+            return self.redirect(report, body, passed_on, respond);
+        };
+        if !renews {
+            return self.redirect(report, body, passed_on, respond);
+        }
+        let reply = match core.report(&report, now) {
+            Heard::Answer(answer) => {
+                if !passed_on {
+                    self.heard = now;
+                }
+                Reply::json(200, &answer)
+            }
+            Heard::Stale => Reply::error(503, "an older report"),
+            Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
+        };
+        respond(reply);
+    }
+
+    /// Sends a worker to the leader, or passes its report on if it has come back from there.
+    fn redirect(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
+        let now = self.now();
+        if !passed_on {
+            self.heard = now;
+        }
+        let leader = self.leader.clone().filter(|l| *l != self.settings.name);
+        let Some(leader) = leader.filter(|_| !passed_on) else {
+            return respond(Reply::json(421, &Elsewhere { leader: None }));
+        };
+        let report_s = self.settings.cluster.workers.report_s;
+        let order = (report.session, report.seq);
+        if !self
+            .redirects
+            .comes_back(&report.machine, order, now, report_s)
+        {
+            return respond(Reply::json(
+                421,
+                &Elsewhere {
+                    leader: Some(leader),
+                },
+            ));
+        }
+        gateway::offer(&self.links.stage, Task::pass_on(leader, body, respond));
+    }
+
+    /// Takes in the cancellations that this process has confirmed meanwhile. While the records are
+    /// being read they are left for the picture to come.
+    pub(super) fn take_own_cancellations(&mut self) {
+        if matches!(self.role, Role::Recovering { .. }) {
+            return;
+        }
+        loop {
+            let page = self.links.cancellations.page(self.own_cancellations);
+            if !page.continues {
+                warn!("cancellations came faster than they were taken in");
+                self.evidence = CancellationEvidence::new(self.links.peers.names());
+            }
+            for job in &page.jobs {
+                self.ended(job, JobState::Cancelled);
+            }
+            self.own_cancellations = page.cursor;
+            if page.complete {
+                return;
+            }
+        }
+    }
+
+    /// A leader asks the other controllers which cancellations they have confirmed.
+    pub(super) fn ask_peers_for_cancellations(&mut self, now: Time) {
+        let pause_s = self.settings.cluster.workers.report_s / CANCELLATION_QUERIES;
+        if self.core().is_none() || now - self.peers_asked < pause_s {
+            return;
+        }
+        self.peers_asked = now;
+        for peer in self.links.peers.names() {
+            let queries = &self.links.cancellation_queries;
+            queries.ask(peer, self.evidence.cursor(peer));
+        }
+    }
+
+    pub(super) fn peer_cancellations(&mut self, peer: &str, answer: Option<PeerAnswer>) {
+        let Some(answer) = answer else {
+            return;
+        };
+        for job in &answer.page.jobs {
+            self.ended(job, JobState::Cancelled);
+        }
+        self.evidence.peer_answered(&answer);
+        if self.core().is_some() && !answer.page.complete {
+            let queries = &self.links.cancellation_queries;
+            queries.ask(peer, self.evidence.cursor(peer));
+        }
+    }
+}
