--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -33,8 +33,8 @@
     format!("{RUN}{id}/{number}")
 }
 
-pub fn place_key(slab: usize) -> String {
-    format!("{PLACE}{slab}")
+pub fn place_key(placement_record: usize) -> String {
+    format!("{PLACE}{placement_record}")
 }
 
 /// The number in `place/N`.
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -69,7 +69,7 @@
 
 /// How a report is answered.
 #[derive(Debug, PartialEq)]
-pub enum Heard {
+pub enum ReportOutcome {
     Answer(ReportAnswer),
     /// Older than what is known: its sender has given up on it.
     Stale,
@@ -78,12 +78,12 @@
 }
 
 /// A record of places on its way, with those that it makes known for the first time.
-pub(super) type SentSlab = (usize, Vec<(PlaceKey, Name)>);
+pub(super) type SentPlacementRecord = (usize, Vec<(PlaceKey, Name)>);
 
 #[derive(Default)]
 pub(super) struct InFlight {
-    pub slabs: Vec<SentSlab>,
-    pub chunks: Vec<(Name, usize)>,
+    pub placement_records: Vec<SentPlacementRecord>,
+    pub completion_records: Vec<(Name, usize)>,
     pub ends: Option<Name>,
     pub removed: Vec<String>,
 }
@@ -113,10 +113,10 @@
     pub(super) effects: Vec<Effect>,
     pub(super) fleet: super::fleet::Fleet,
     /// The records of places, and those that launches wait for.
-    pub(super) slabs: Vec<Slab>,
+    pub(super) placement_records: Vec<PlacementRecord>,
     pub(super) urgent: BTreeSet<usize>,
     /// The record that new places go into.
-    pub(super) open_slab: usize,
+    pub(super) open_placement_record: usize,
     /// Records of completed tasks that are out of date, the oldest first.
     pub(super) lagging: VecDeque<(Time, Name, usize)>,
     /// Jobs of which nothing is left but the record of their end; false for those that others wait
@@ -210,9 +210,9 @@
             gone: BTreeMap::new(),
             effects: Vec::new(),
             fleet: Default::default(),
-            slabs: Vec::new(),
+            placement_records: Vec::new(),
             urgent: BTreeSet::new(),
-            open_slab: 0,
+            open_placement_record: 0,
             lagging: VecDeque::new(),
             over: BTreeSet::new(),
             pipelines: Default::default(),
@@ -290,7 +290,7 @@
 
     /// How long it takes until hearing no worker at all is no chance any more: they report at times
     /// of their own, so that many leave short gaps only.
-    pub(super) fn deaf_s(&self) -> f64 {
+    pub(super) fn silence_of_all_s(&self) -> f64 {
         let gap = GAP_REPORTS / self.up.max(1) as f64;
         gap.max(LEAST_GAP) * self.settings.cluster.workers.report_s
     }
@@ -300,7 +300,7 @@
     /// chance when many report at the same time, again and again.
     pub(super) fn hears(&mut self, now: Time) {
         let gap = now - self.last_heard;
-        if gap > self.deaf_s() {
+        if gap > self.silence_of_all_s() {
             self.gap_ended = now;
         }
         if gap > LONGEST_INTERVAL * self.settings.cluster.workers.report_s {
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -130,15 +130,15 @@
         let suspect_s = self.settings.cluster.workers.report_s * SUSPECT_REPORTS;
         // While nobody is heard, the silence of a machine says nothing about it.
         let since = self.leads_since.max(self.hears_since);
-        let deaf = now - self.last_heard > self.deaf_s();
+        let cut_off = now - self.last_heard > self.silence_of_all_s();
         let lease_s = self.settings.cluster.workers.lease_s * DRIFT;
-        // One that heeds no answer is as good as silent, though it is heard. So is one that answers
+        // One on which answers have no effect is as good as silent, though it is heard. So is one that answers
         // commands but sends no reports, once that has cost it its lease.
         let quiet_s = |m: &Machine| {
             let last = m.heard.unwrap_or(m.rented);
             let mute = now - m.answered > lease_s;
             let last = if mute { last.min(m.answered) } else { last };
-            let last = m.deaf_since.map_or(last, |t| t.min(last));
+            let last = m.unresponsive_since.map_or(last, |t| t.min(last));
             now - last.max(since)
         };
         let (mut up, mut mute, mut mute_since) = (0, 0, now);
@@ -159,7 +159,7 @@
         // Many at once: it is rather our own network that is cut. But not for ever: what has not
         // been answered for a lease has lost its tasks anyway, and a picture that holds nothing but
         // machines that are gone must come to an end.
-        let many = deaf || silent.len() * 2 > up.max(2);
+        let many = cut_off || silent.len() * 2 > up.max(2);
         let lost_s = lease_s + silence_s;
         self.up = up;
         let falls = mute > FALL_LEAST.max((FALL_SHARE * up as f64) as usize);
@@ -210,7 +210,7 @@
         let names: Vec<Name> = self
             .machines
             .values()
-            .filter(|m| m.phase == Phase::Up && (late(m) || m.deaf_since.is_some()))
+            .filter(|m| m.phase == Phase::Up && (late(m) || m.unresponsive_since.is_some()))
             .filter(|m| !m.order_in_flight && now >= m.no_orders_until && m.endpoint.is_some())
             .map(|m| m.name.clone())
             .take(PROBES)
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -24,12 +24,12 @@
             return;
         }
         let tasks = record.spec.tasks as usize;
-        let chunks = tasks.div_ceil(self.cut.tasks);
+        let completion_records = tasks.div_ceil(self.cut.tasks);
         let spec = Arc::new(record.spec);
         if !record.cancelled {
             self.fleet.arrived(&spec, arrived);
         }
-        let mut job = Job::new(spec, seq, arrived, chunks, f64::INFINITY);
+        let mut job = Job::new(spec, seq, arrived, completion_records, f64::INFINITY);
         job.cancelled = record.cancelled;
         if !job.is_service() {
             let spec = &job.spec;
@@ -133,7 +133,7 @@
         }
         job.setbacks = 0;
         // Another place of a task that is done is of no use.
-        let rest: Vec<At> = match is_gang {
+        let rest: Vec<TaskLocation> = match is_gang {
             true => Vec::new(),
             false => job
                 .tasks
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -14,8 +14,8 @@
 /// Whether a task's completion is known here only: its worker must not forget it yet.
 pub(super) fn unrecorded(jobs: &BTreeMap<Name, Job>, id: &Name, task: u32, cut: Cut) -> bool {
     jobs.get(id).is_some_and(|j| {
-        let chunk = j.chunks.get(task as usize / cut.tasks);
-        !j.ended && chunk.is_some_and(|c| c.dirty.is_some() || c.in_flight)
+        let completion_record = j.completion_records.get(task as usize / cut.tasks);
+        !j.ended && completion_record.is_some_and(|c| c.dirty.is_some() || c.in_flight)
     })
 }
 
@@ -137,7 +137,7 @@
         m.order_in_flight = false;
         self.to_order.insert(name.clone());
         if let Ordered::Executed(_) = result {
-            m.heeds(true, now);
+            m.acknowledges(true, now);
         }
         match result {
             Ordered::Executed(r) | Ordered::Rejected(Some(r)) => {
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -16,14 +16,14 @@
 impl Core {
     /// Puts a task on a machine. The launch leaves once the record is written.
     pub(super) fn add_place(&mut self, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
-        let slab = self.choose_slab(&key, machine);
-        self.add_place_in(slab, key, machine, stage, now);
+        let placement_record = self.choose_placement_record(&key, machine);
+        self.add_place_in(placement_record, key, machine, stage, now);
     }
 
     /// The same, where it is known which record tells of the place.
     fn add_place_in(
         &mut self,
-        slab: usize,
+        placement_record: usize,
         key: PlaceKey,
         machine: &Name,
         stage: Stage,
@@ -53,27 +53,34 @@
         };
         m.places.insert(key.clone(), place);
         m.places_changed();
-        slot.at.push(At {
+        slot.at.push(TaskLocation {
             machine: machine.clone(),
             attempt: *attempt,
-            slab,
+            placement_record,
         });
         job.live += 1;
         let usage = self.team_use.entry(job.spec.team.clone()).or_default();
         usage.0 += load.need.cpus;
         usage.1 += load.need.gpus;
-        self.enter(slab, key, machine, stage, now);
+        self.enter(placement_record, key, machine, stage, now);
     }
 
     /// Enters a new place into a record.
-    fn enter(&mut self, slab: usize, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
+    fn enter(
+        &mut self,
+        placement_record: usize,
+        key: PlaceKey,
+        machine: &Name,
+        stage: Stage,
+        now: Time,
+    ) {
         let priority = self.jobs.get(&key.0).map(|j| j.priority);
-        let entry = &mut self.slabs[slab];
+        let entry = &mut self.placement_records[placement_record];
         entry.insert(key.clone(), machine.clone());
         match (stage, priority) {
             (Stage::Planned, Some(priority)) => {
                 entry.plan((key, machine.clone()), priority, now);
-                self.urgent.insert(slab);
+                self.urgent.insert(placement_record);
             }
             _ => {
                 entry.dirty.get_or_insert(now);
@@ -84,57 +91,71 @@
     /// Moves places that a record is too small for into others, as after a leader whose records may
     /// be larger. Until those are written, the old record stays as it is: what it told of must not be
     /// forgotten in between.
-    pub(super) fn split_slab(&mut self, slab: usize, now: Time) {
-        while self.slabs[slab].bytes() > self.record_bytes && self.slabs[slab].entries().len() > 1 {
-            let last = self.slabs[slab].entries().last().cloned();
+    pub(super) fn split_placement_record(&mut self, placement_record: usize, now: Time) {
+        while self.placement_records[placement_record].bytes() > self.record_bytes
+            && self.placement_records[placement_record].entries().len() > 1
+        {
+            let last = self.placement_records[placement_record]
+                .entries()
+                .last()
+                .cloned();
             let entry = last.expect("more than one");
-            self.slabs[slab].remove(&entry);
+            self.placement_records[placement_record].remove(&entry);
             let (key, machine) = entry;
-            let to = self.choose_slab(&key, &machine);
+            let to = self.choose_placement_record(&key, &machine);
             let slot = self.jobs.get_mut(&key.0);
             let slot = slot.and_then(|j| j.tasks.get_mut(key.1 as usize));
             let at = slot.and_then(|t| {
-                let held = |a: &&mut At| a.machine == machine && a.attempt == key.2;
+                let held = |a: &&mut TaskLocation| a.machine == machine && a.attempt == key.2;
                 t.at.iter_mut().find(held)
             });
             if let Some(at) = at {
-                at.slab = to;
+                at.placement_record = to;
             }
             let place = self.machines.get(&machine).and_then(|m| m.places.get(&key));
             let stage = place.map_or(Stage::Started, |p| p.stage);
             self.enter(to, key, &machine, stage, now);
-            self.slabs[slab].shrinks_after.insert(to);
-            self.shrinking.insert(slab);
-            self.slabs[slab].dirty.get_or_insert(now);
+            self.placement_records[placement_record]
+                .shrinks_after
+                .insert(to);
+            self.shrinking.insert(placement_record);
+            self.placement_records[placement_record]
+                .dirty
+                .get_or_insert(now);
         }
     }
 
     /// A record is written: those that waited for it to take over may shrink.
     pub(super) fn taken_over(&mut self, by: usize) {
-        let slabs = &mut self.slabs;
+        let placement_records = &mut self.placement_records;
         self.shrinking.retain(|i| {
-            slabs[*i].shrinks_after.remove(&by);
-            !slabs[*i].shrinks_after.is_empty()
+            placement_records[*i].shrinks_after.remove(&by);
+            !placement_records[*i].shrinks_after.is_empty()
         });
     }
 
     /// The record that a new place goes into: the open one, until it is full or on its way; then one
     /// that is half empty, or a new one. Small gaps are left: places that fill them would each cost a
     /// change of a record of their own.
-    fn choose_slab(&mut self, key: &PlaceKey, machine: &Name) -> usize {
+    fn choose_placement_record(&mut self, key: &PlaceKey, machine: &Name) -> usize {
         let most = self.record_bytes;
-        let takes = |s: &Slab| s.is_idle() && s.bytes() + s.bytes_for(key, machine) <= most;
-        if !self.slabs.get(self.open_slab).is_some_and(takes) {
-            let half_empty = |s: &Slab| takes(s) && s.bytes() <= most / 2;
-            let with_room = self.slabs.iter().enumerate();
+        let takes =
+            |s: &PlacementRecord| s.is_idle() && s.bytes() + s.bytes_for(key, machine) <= most;
+        if !self
+            .placement_records
+            .get(self.open_placement_record)
+            .is_some_and(takes)
+        {
+            let half_empty = |s: &PlacementRecord| takes(s) && s.bytes() <= most / 2;
+            let with_room = self.placement_records.iter().enumerate();
             let with_room = with_room.filter(|(_, s)| half_empty(s));
             let emptiest = with_room.min_by_key(|(_, s)| (!s.has_planned(), s.bytes()));
-            self.open_slab = emptiest.map_or(self.slabs.len(), |(i, _)| i);
-            if self.open_slab == self.slabs.len() {
-                self.slabs.push(Slab::default());
+            self.open_placement_record = emptiest.map_or(self.placement_records.len(), |(i, _)| i);
+            if self.open_placement_record == self.placement_records.len() {
+                self.placement_records.push(PlacementRecord::default());
             }
         }
-        self.open_slab
+        self.open_placement_record
     }
 
     /// The record of which tasks have completed is out of date.
@@ -143,9 +164,9 @@
             return;
         };
         let i = task as usize / self.cut.tasks;
-        let chunk = &mut job.chunks[i];
-        if chunk.dirty.is_none() {
-            chunk.dirty = Some(now);
+        let completion_record = &mut job.completion_records[i];
+        if completion_record.dirty.is_none() {
+            completion_record.dirty = Some(now);
             self.lagging.push_back((now, id.clone(), i));
         }
     }
@@ -160,7 +181,7 @@
         let Some(slot) = job.tasks.get_mut(*task as usize) else {
             return;
         };
-        let held = |a: &At| a.machine == *machine && a.attempt == *attempt;
+        let held = |a: &TaskLocation| a.machine == *machine && a.attempt == *attempt;
         let Some(i) = slot.at.iter().position(held) else {
             return;
         };
@@ -176,9 +197,9 @@
             self.mark_over(id);
         }
         self.stirred = true;
-        let slab = &mut self.slabs[at.slab];
-        if slab.remove(&(key.clone(), machine.clone())) {
-            slab.dirty.get_or_insert(now);
+        let placement_record = &mut self.placement_records[at.placement_record];
+        if placement_record.remove(&(key.clone(), machine.clone())) {
+            placement_record.dirty.get_or_insert(now);
         }
         self.drop_ended(id);
     }
@@ -274,12 +295,12 @@
         let m = self.machines.get_mut(name).expect("known machine");
         let reported = m.reported;
         // An answer brought a launch, and a report after it shows nothing of that.
-        let unheeded = m.places.iter().any(|(key, p)| {
+        let unacknowledged = m.places.iter().any(|(key, p)| {
             let answered = p.reply_seq.is_some_and(|s| s < reported);
             p.stage == Stage::Started && p.stop.is_none() && answered && !shown.contains(key)
         });
-        if unheeded {
-            m.heeds(false, now);
+        if unacknowledged {
+            m.acknowledges(false, now);
         }
         let mut lost = Vec::new();
         m.places.retain(|key, place| {
@@ -356,14 +377,20 @@
     }
 
     /// Loads a place that an earlier leader recorded.
-    pub(super) fn recover_place(&mut self, slab: usize, key: PlaceKey, machine: &Name, now: Time) {
+    pub(super) fn recover_place(
+        &mut self,
+        placement_record: usize,
+        key: PlaceKey,
+        machine: &Name,
+        now: Time,
+    ) {
         // The record names the machine only: its own report or the cloud's list tells the rest.
         self.machines.entry(machine.clone()).or_insert_with(|| {
             let mut m = Machine::new(machine.clone(), "".into(), "".into(), false, now);
             m.phase = Phase::Up;
             m
         });
-        self.add_place_in(slab, key.clone(), machine, Stage::Started, now);
+        self.add_place_in(placement_record, key.clone(), machine, Stage::Started, now);
         let m = self.machines.get_mut(machine);
         if let Some(p) = m.and_then(|m| m.places.get_mut(&key)) {
             p.recovered = true;
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -43,23 +43,24 @@
             let Some(record) = Self::decode::<RunRecord>(&item.key, item.value) else {
                 continue;
             };
-            self.recover_chunk(&id, number, record, item.version);
+            self.recover_completion_record(&id, number, record, item.version);
         }
         for item in records.places {
-            let Some(slab) = parse_place_key(&item.key) else {
+            let Some(placement_record) = parse_place_key(&item.key) else {
                 continue;
             };
-            if self.slabs.len() <= slab {
-                self.slabs.resize_with(slab + 1, Slab::default);
+            if self.placement_records.len() <= placement_record {
+                self.placement_records
+                    .resize_with(placement_record + 1, PlacementRecord::default);
             }
-            self.slabs[slab].version = item.version;
+            self.placement_records[placement_record].version = item.version;
             if let Some(record) = Self::decode::<PlaceRecord>(&item.key, item.value) {
-                self.recover_slab(slab, record, now);
+                self.recover_placement_record(placement_record, record, now);
             }
         }
         self.waits_no_more();
-        for slab in 0..self.slabs.len() {
-            self.split_slab(slab, now);
+        for placement_record in 0..self.placement_records.len() {
+            self.split_placement_record(placement_record, now);
         }
         info!(
             "leads with token {}: {} open jobs, places on {} machines",
@@ -75,7 +76,13 @@
         self.job_open(record, version, now, now - age_s);
     }
 
-    fn recover_chunk(&mut self, id: &Name, number: usize, record: RunRecord, version: u64) {
+    fn recover_completion_record(
+        &mut self,
+        id: &Name,
+        number: usize,
+        record: RunRecord,
+        version: u64,
+    ) {
         for (first, last) in &record.done {
             for task in *first..=*last {
                 self.recover_done(id, task);
@@ -86,8 +93,8 @@
         };
         match self.cut.position(number) {
             Some(i) => {
-                if let Some(chunk) = job.chunks.get_mut(i) {
-                    chunk.version = version;
+                if let Some(completion_record) = job.completion_records.get_mut(i) {
+                    completion_record.version = version;
                 }
             }
             // Never written here, as it may tell of tasks that our records of such a number do not.
@@ -95,7 +102,12 @@
         }
     }
 
-    fn recover_slab(&mut self, slab: usize, record: PlaceRecord, now: Time) {
+    fn recover_placement_record(
+        &mut self,
+        placement_record: usize,
+        record: PlaceRecord,
+        now: Time,
+    ) {
         let mut told = 0;
         for (id, machines) in record.places {
             let id: Name = id.as_str().into();
@@ -107,12 +119,12 @@
                 let machine: Name = machine.as_str().into();
                 for (task, attempt) in places {
                     let key = (id.clone(), task, attempt);
-                    self.recover_place(slab, key, &machine, now);
+                    self.recover_place(placement_record, key, &machine, now);
                 }
             }
         }
         // What it holds of jobs that are over, or what another holds too, goes with its next writing.
-        let slab = &mut self.slabs[slab];
-        slab.dirty = (slab.entries().len() < told).then_some(now);
+        let placement_record = &mut self.placement_records[placement_record];
+        placement_record.dirty = (placement_record.entries().len() < told).then_some(now);
     }
 }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -60,13 +60,13 @@
         m.describe(&r.kind, &r.zone, r.spot);
         // Its lease ran out though its reports were answered: the answers do not reach it.
         if new_session && m.told > 0 && now - m.answered < lease_s {
-            m.unheeded = UNHEEDED;
-            m.heeds(false, now);
+            m.unacknowledged = MOST_UNACKNOWLEDGED;
+            m.acknowledges(false, now);
         }
         if new_session {
             m.told = 0;
         } else if m.told > m.token {
-            m.heeds(r.token >= m.told, now);
+            m.acknowledges(r.token >= m.told, now);
         }
         if m.phase == Phase::Booting {
             m.phase = Phase::Up;
@@ -176,7 +176,7 @@
             }
             m.places_changed();
             if launched {
-                m.heeds(true, now);
+                m.acknowledges(true, now);
             }
             return;
         }
@@ -208,17 +208,17 @@
     }
 
     /// Takes in a worker's own report and answers it.
-    pub fn report(&mut self, r: &Report, now: Time) -> Heard {
+    pub fn report(&mut self, r: &Report, now: Time) -> ReportOutcome {
         if r.token > self.token {
             warn!(
                 "{}: has seen token {}, ours is {}",
                 r.machine, r.token, self.token
             );
             self.deposed = true;
-            return Heard::Deposed;
+            return ReportOutcome::Deposed;
         }
         if !self.take_in(r, true, now) {
-            return Heard::Stale;
+            return ReportOutcome::Stale;
         }
         let name: Name = r.machine.as_str().into();
         let mut commands = Vec::new();
@@ -251,7 +251,7 @@
         }
         commands.extend(self.commands(&name, Some(r.seq), now));
         commands.truncate(MOST_COMMANDS);
-        Heard::Answer(ReportAnswer {
+        ReportOutcome::Answer(ReportAnswer {
             token: self.token,
             commands,
         })
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -1,6 +1,6 @@
 //! Jobs, from their description to their end.
 
-use super::{Chunk, Due, Load, Name, Room, Task};
+use super::{CompletionRecord, Due, Load, Name, Room, Task};
 use crate::coordination::Time;
 use crate::protocol::job::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,7 +35,7 @@
     /// Places that are or may be live, and those that are known to run.
     pub live: u32,
     pub running: u32,
-    pub chunks: Vec<Chunk>,
+    pub completion_records: Vec<CompletionRecord>,
     /// Records of completed tasks in other cuts, which others wrote; they go when it ends.
     pub other_cuts: Vec<usize>,
     /// Its user has cancelled it; its places are being cleared.
@@ -60,7 +60,7 @@
         spec: Arc<JobSpec>,
         seq: u64,
         arrived: Time,
-        chunks: usize,
+        completion_records: usize,
         predicted_s: f64,
     ) -> Job {
         Job {
@@ -76,7 +76,7 @@
             done: 0,
             live: 0,
             running: 0,
-            chunks: vec![Chunk::default(); chunks],
+            completion_records: vec![CompletionRecord::default(); completion_records],
             other_cuts: Vec::new(),
             cancelled: false,
             end_in_flight: false,
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -15,7 +15,7 @@
 }
 
 /// Answers in a row without effect after which a worker counts as out of reach.
-pub const UNHEEDED: u32 = 2;
+pub const MOST_UNACKNOWLEDGED: u32 = 2;
 
 /// A machine, its worker, and the places on it.
 pub struct Machine {
@@ -48,8 +48,8 @@
     pub told: u64,
     /// Answers in a row that later reports show to have changed nothing, and since when it counts
     /// as out of reach by that.
-    pub unheeded: u32,
-    pub deaf_since: Option<Time>,
+    pub unacknowledged: u32,
+    pub unresponsive_since: Option<Time>,
     pub order_in_flight: bool,
     /// When it last gave no answer to a command, since it was last heard.
     pub unanswered: Option<Time>,
@@ -89,8 +89,8 @@
             services: Cell::new(0),
             images: BTreeMap::new(),
             told: 0,
-            unheeded: 0,
-            deaf_since: None,
+            unacknowledged: 0,
+            unresponsive_since: None,
             order_in_flight: false,
             unanswered: None,
             no_orders_until: 0.0,
@@ -112,15 +112,15 @@
     }
 
     /// Takes in whether the worker has done what it was told last.
-    pub fn heeds(&mut self, heeded: bool, now: Time) {
+    pub fn acknowledges(&mut self, heeded: bool, now: Time) {
         if heeded {
-            self.unheeded = 0;
-            self.deaf_since = None;
+            self.unacknowledged = 0;
+            self.unresponsive_since = None;
             return;
         }
-        self.unheeded += 1;
-        if self.unheeded >= UNHEEDED {
-            self.deaf_since.get_or_insert(now);
+        self.unacknowledged += 1;
+        if self.unacknowledged >= MOST_UNACKNOWLEDGED {
+            self.unresponsive_since.get_or_insert(now);
         }
     }
 
@@ -165,7 +165,7 @@
         self.phase == Phase::Up
             && !self.quarantined
             && !self.draining
-            && self.unheeded < UNHEEDED
+            && self.unacknowledged < MOST_UNACKNOWLEDGED
             && self.unanswered.is_none()
             && (self.token >= first_token || self.ours && self.session == 1)
             && self.taken_at.is_none()
--- a/src/coordination/state/mod.rs
+++ b/src/coordination/state/mod.rs
@@ -11,15 +11,12 @@
 pub use deadline::Due;
 pub use job::Job;
 pub(super) use job::WAITS_WITH_ROOM_S;
-pub use machine::{Machine, Phase, UNHEEDED};
+pub use machine::{Machine, Phase, MOST_UNACKNOWLEDGED};
 pub use place::{Load, Place, PlaceKey, Stage, Stop};
 pub use placement_record::PlacementRecord;
 pub use room::Room;
 use std::sync::Arc;
-pub use task::{At, Chunk, Task};
+pub use task::{CompletionRecord, Task, TaskLocation};
 
 /// The name of a job, a machine, a zone or a type of machine.
 pub type Name = Arc<str>;
-
-/// The name of [`PlacementRecord`] in modules that have not taken on the new one yet.
-pub type Slab = PlacementRecord;
--- a/src/coordination/state/task.rs
+++ b/src/coordination/state/task.rs
@@ -7,21 +7,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Task {
     pub done: bool,
-    pub at: Vec<At>,
+    pub at: Vec<TaskLocation>,
 }
 
 /// A machine that a task is or may be on.
 #[derive(Clone, Debug)]
-pub struct At {
+pub struct TaskLocation {
     pub machine: Name,
     pub attempt: u64,
     /// The record that tells of it.
-    pub slab: usize,
+    pub placement_record: usize,
 }
 
 /// The record of which of a range of tasks have completed.
 #[derive(Clone, Debug, Default)]
-pub struct Chunk {
+pub struct CompletionRecord {
     pub version: u64,
     /// Since when the record is out of date.
     pub dirty: Option<Time>,
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -36,7 +36,10 @@
             if ending && self.budget.level(now) < 2.0 {
                 break;
             }
-            if !(self.write_slabs(now) || self.write_chunks(now) || self.write_removals(now)) {
+            if !(self.write_placement_records(now)
+                || self.write_completion_records(now)
+                || self.write_removals(now))
+            {
                 break;
             }
         }
@@ -57,7 +60,9 @@
     pub(super) fn write_end(&mut self, now: Time) -> bool {
         let idle = |(_, id): &&(bool, Name)| {
             let job = self.jobs.get(id);
-            job.is_none_or(|j| !j.end_in_flight && !j.chunks.iter().any(|c| c.in_flight))
+            job.is_none_or(|j| {
+                !j.end_in_flight && !j.completion_records.iter().any(|c| c.in_flight)
+            })
         };
         let Some(entry) = self.over.iter().find(idle).cloned() else {
             return false;
@@ -97,13 +102,17 @@
         true
     }
 
-    /// A slab's record, with the planned places that it makes known. As many jobs' as a transaction
+    /// A placement_record's record, with the planned places that it makes known. As many jobs' as a transaction
     /// has conditions for; the others wait for the next.
-    fn slab_record(&self, slab: usize, most_jobs: usize) -> (PlaceRecord, SentSlab) {
+    fn placement_record_record(
+        &self,
+        placement_record: usize,
+        most_jobs: usize,
+    ) -> (PlaceRecord, SentPlacementRecord) {
         let mut record = PlaceRecord::default();
         let mut planned = Vec::new();
         let mut jobs: BTreeSet<&Name> = BTreeSet::new();
-        let entries = &self.slabs[slab];
+        let entries = &self.placement_records[placement_record];
         for entry in entries.entries() {
             let ((id, task, attempt), machine) = entry;
             if entries.is_planned(entry) {
@@ -117,36 +126,41 @@
             let places = machines.entry(machine.to_string()).or_default();
             places.push((*task, *attempt));
         }
-        (record, (slab, planned))
+        (record, (placement_record, planned))
     }
 
     /// Records places: first those that launches wait for, then what is long out of date.
-    fn write_slabs(&mut self, now: Time) -> bool {
+    fn write_placement_records(&mut self, now: Time) -> bool {
         if self.budget.level(now) < 1.0 {
             return false;
         }
         let scarce = self.scarce(now);
         let lag = self.record_lag();
-        let idle = |i: &usize| self.slabs[*i].is_idle();
-        let stale = |s: &Slab| s.is_idle() && s.dirty.is_some_and(|t| now - t > lag);
-        let slabs = &self.slabs;
-        self.urgent.retain(|i| slabs[*i].has_planned());
+        let idle = |i: &usize| self.placement_records[*i].is_idle();
+        let stale = |s: &PlacementRecord| s.is_idle() && s.dirty.is_some_and(|t| now - t > lag);
+        let placement_records = &self.placement_records;
+        self.urgent.retain(|i| placement_records[*i].has_planned());
         // Not in any fixed order: what comes last in it would wait for ever while the budget is short.
         let urgent = self.urgent.iter().copied().filter(idle);
-        let urgent = urgent.map(|i| (self.slabs[i].urgency(now), i));
+        let urgent = urgent.map(|i| (self.placement_records[i].urgency(now), i));
         let urgent = urgent.max_by(|((p, s), _), ((q, t), _)| p.cmp(q).then(s.total_cmp(t)));
         let urgent = urgent.map(|(_, i)| i);
-        let late = || self.slabs.iter().position(stale).filter(|_| !scarce);
+        let late = || {
+            self.placement_records
+                .iter()
+                .position(stale)
+                .filter(|_| !scarce)
+        };
         let Some(i) = urgent.or_else(late) else {
             return false;
         };
         // Two conditions are about the leader and the record itself.
         let most_jobs = CONDITIONS_A_CHANGE * self.most_changes - 2;
-        let (record, sent) = self.slab_record(i, most_jobs);
+        let (record, sent) = self.placement_record_record(i, most_jobs);
         let value = serde_json::to_value(&record).expect("plain data");
         let mut txn = self
             .begin()
-            .version(place_key(i), self.slabs[i].version)
+            .version(place_key(i), self.placement_records[i].version)
             .put(place_key(i), value);
         let jobs: BTreeSet<&Name> = sent.1.iter().map(|(key, _)| &key.0).collect();
         for id in jobs {
@@ -155,13 +169,13 @@
         self.budget.take(now, 1.0);
         self.spent.places += 1;
         self.spent.launches += sent.1.len();
-        self.slabs[i].in_flight = true;
-        self.slabs[i].dirty = None;
+        self.placement_records[i].in_flight = true;
+        self.placement_records[i].dirty = None;
         self.urgent.remove(&i);
         self.submit_write(
             txn,
             InFlight {
-                slabs: vec![sent],
+                placement_records: vec![sent],
                 ..InFlight::default()
             },
         );
@@ -177,9 +191,9 @@
         self.budget.level(now) < self.budget.burst() / 2.0
     }
 
-    fn chunk_record(&self, job: &Job, chunk: usize) -> RunRecord {
+    fn completion_record_record(&self, job: &Job, completion_record: usize) -> RunRecord {
         let mut record = RunRecord::default();
-        let first = chunk * self.cut.tasks;
+        let first = completion_record * self.cut.tasks;
         let last = (first + self.cut.tasks).min(job.tasks.len());
         for t in (first..last).filter(|t| job.tasks[*t].done) {
             record.push_done(t as u32);
@@ -192,25 +206,25 @@
         record
     }
 
-    /// Whether a chunk is to be written at all; a job that is over is closed instead.
-    fn chunk_is_due(&self, id: &Name, chunk: usize, since: Time) -> bool {
+    /// Whether a completion_record is to be written at all; a job that is over is closed instead.
+    fn completion_record_is_due(&self, id: &Name, completion_record: usize, since: Time) -> bool {
         let job = self.jobs.get(id);
         job.is_some_and(|j| {
             let open = !j.cancelled && !j.end_in_flight && !j.ended && !j.is_over();
-            open && j.chunks[chunk].dirty == Some(since)
+            open && j.completion_records[completion_record].dirty == Some(since)
         })
     }
 
     /// Records what has completed, once that has been out of date for long enough.
-    fn write_chunks(&mut self, now: Time) -> bool {
+    fn write_completion_records(&mut self, now: Time) -> bool {
         let lag = self.record_lag() * if self.scarce(now) { SCARCE } else { 1.0 };
         let room = self.budget.level(now) as usize;
         let most = self.most_changes.min(room);
         let mut txn = self.begin();
-        let mut chunks: Vec<(Name, usize)> = Vec::new();
+        let mut completion_records: Vec<(Name, usize)> = Vec::new();
         let mut later = Vec::new();
         let mut bytes = 0;
-        while chunks.len() < most && bytes < TXN_BYTES {
+        while completion_records.len() < most && bytes < TXN_BYTES {
             let Some((since, id, i)) = self.lagging.front().cloned() else {
                 break;
             };
@@ -218,37 +232,41 @@
                 break;
             }
             self.lagging.pop_front();
-            if !self.chunk_is_due(&id, i, since) {
+            if !self.completion_record_is_due(&id, i, since) {
                 continue;
             }
             let job = &self.jobs[&id];
-            if job.chunks[i].in_flight {
+            if job.completion_records[i].in_flight {
                 later.push((since, id, i));
                 continue;
             }
-            let value = serde_json::to_value(self.chunk_record(job, i)).expect("plain data");
+            let value =
+                serde_json::to_value(self.completion_record_record(job, i)).expect("plain data");
             bytes += value.to_string().len();
             let key = run_key(&id, self.cut.number(i));
-            txn = txn.version(&*key, job.chunks[i].version).put(key, value);
-            chunks.push((id, i));
+            txn = txn
+                .version(&*key, job.completion_records[i].version)
+                .put(key, value);
+            completion_records.push((id, i));
         }
         for entry in later.into_iter().rev() {
             self.lagging.push_front(entry);
         }
-        if chunks.is_empty() {
+        if completion_records.is_empty() {
             return false;
         }
-        self.budget.take(now, chunks.len() as f64);
-        self.spent.completed += chunks.len();
-        for (id, i) in &chunks {
-            let chunk = &mut self.jobs.get_mut(id).expect("known job").chunks[*i];
-            chunk.in_flight = true;
-            chunk.dirty = None;
+        self.budget.take(now, completion_records.len() as f64);
+        self.spent.completed += completion_records.len();
+        for (id, i) in &completion_records {
+            let completion_record =
+                &mut self.jobs.get_mut(id).expect("known job").completion_records[*i];
+            completion_record.in_flight = true;
+            completion_record.dirty = None;
         }
         self.submit_write(
             txn,
             InFlight {
-                chunks,
+                completion_records,
                 ..InFlight::default()
             },
         );
@@ -293,17 +311,17 @@
             Written::Applied(revision) => Some(*revision),
             _ => None,
         };
-        for (i, planned) in what.slabs {
-            self.slab_written(i, planned, applied, now);
+        for (i, planned) in what.placement_records {
+            self.placement_record_written(i, planned, applied, now);
         }
-        for (id, i) in what.chunks {
+        for (id, i) in what.completion_records {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            let chunk = &mut job.chunks[i];
-            chunk.in_flight = false;
+            let completion_record = &mut job.completion_records[i];
+            completion_record.in_flight = false;
             match applied {
-                Some(revision) => chunk.version = revision,
+                Some(revision) => completion_record.version = revision,
                 None => self.touch(&id, (i * self.cut.tasks) as u32, now),
             }
         }
@@ -330,38 +348,47 @@
     /// cut smaller, since it would be refused for ever; so is what comes after it.
     fn write_smaller(&mut self, what: &InFlight, now: Time) {
         self.most_changes = (self.most_changes / 2).max(1);
-        let slabs = what.slabs.iter().map(|(i, _)| self.slabs[*i].bytes());
-        let largest = slabs.max().filter(|bytes| *bytes <= self.record_bytes);
-        if let Some(bytes) = largest.or((what.chunks.len() == 1).then_some(self.record_bytes)) {
+        let placement_records = what
+            .placement_records
+            .iter()
+            .map(|(i, _)| self.placement_records[*i].bytes());
+        let largest = placement_records
+            .max()
+            .filter(|bytes| *bytes <= self.record_bytes);
+        if let Some(bytes) =
+            largest.or((what.completion_records.len() == 1).then_some(self.record_bytes))
+        {
             self.record_bytes = bytes / 2;
         }
         warn!(
             "a write is too large: from now on {} changes, of {} bytes each",
             self.most_changes, self.record_bytes
         );
-        for (i, _) in &what.slabs {
-            self.split_slab(*i, now);
+        for (i, _) in &what.placement_records {
+            self.split_placement_record(*i, now);
         }
     }
 
-    /// The places that a slab has made known may be launched now.
-    fn slab_written(
+    /// The places that a placement_record has made known may be launched now.
+    fn placement_record_written(
         &mut self,
-        slab: usize,
+        placement_record: usize,
         planned: Vec<(PlaceKey, Name)>,
         applied: Option<u64>,
         now: Time,
     ) {
-        self.slabs[slab].in_flight = false;
+        self.placement_records[placement_record].in_flight = false;
         let Some(revision) = applied else {
-            self.slabs[slab].dirty.get_or_insert(now);
-            self.urgent.insert(slab);
+            self.placement_records[placement_record]
+                .dirty
+                .get_or_insert(now);
+            self.urgent.insert(placement_record);
             return;
         };
-        self.slabs[slab].version = revision;
-        self.taken_over(slab);
+        self.placement_records[placement_record].version = revision;
+        self.taken_over(placement_record);
         for entry in planned {
-            self.slabs[slab].recorded(&entry);
+            self.placement_records[placement_record].recorded(&entry);
             let (key, machine) = entry;
             let cancelled = self.jobs.get(&key.0).is_none_or(|j| j.cancelled);
             let m = self.machines.get_mut(&machine);
@@ -372,8 +399,8 @@
             }
         }
         // Those that the last writing had no conditions for.
-        if self.slabs[slab].has_planned() {
-            self.urgent.insert(slab);
+        if self.placement_records[placement_record].has_planned() {
+            self.urgent.insert(placement_record);
         }
     }
 
@@ -409,7 +436,11 @@
         for first in [false, true] {
             self.over.remove(&(first, id.clone()));
         }
-        let stored = job.chunks.iter().enumerate().filter(|(_, c)| c.version > 0);
+        let stored = job
+            .completion_records
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| c.version > 0);
         for (i, _) in stored {
             self.stale_keys.insert(run_key(id, self.cut.number(i)));
         }
@@ -439,13 +470,16 @@
                     warn!("leadership is lost: the record has version {version}");
                     self.deposed = true;
                 }
-            } else if let Some(slab) = parse_place_key(&key).and_then(|i| self.slabs.get_mut(i)) {
-                slab.version = version;
+            } else if let Some(placement_record) =
+                parse_place_key(&key).and_then(|i| self.placement_records.get_mut(i))
+            {
+                placement_record.version = version;
             } else if let Some((id, number)) = parse_run_key(&key) {
                 let position = self.cut.position(number);
-                let chunk = position.and_then(|i| self.jobs.get_mut(id)?.chunks.get_mut(i));
-                if let Some(chunk) = chunk {
-                    chunk.version = version;
+                let completion_record =
+                    position.and_then(|i| self.jobs.get_mut(id)?.completion_records.get_mut(i));
+                if let Some(completion_record) = completion_record {
+                    completion_record.version = version;
                 }
             } else if let (Some(id), Some(item)) = (key.strip_prefix("end/"), item) {
                 match serde_json::from_value::<EndRecord>(item.value) {
--- a/src/service/controller/reports.rs
+++ b/src/service/controller/reports.rs
@@ -2,7 +2,7 @@
 
 use super::{Controller, Role};
 use crate::coordination::cancellations::{CancellationEvidence, PeerAnswer};
-use crate::coordination::core::Heard;
+use crate::coordination::core::ReportOutcome;
 use crate::coordination::Time;
 use crate::protocol::job::JobState;
 use crate::protocol::worker::{Elsewhere, Report};
@@ -33,14 +33,14 @@
             return self.redirect(report, body, passed_on, respond);
         }
         let reply = match core.report(&report, now) {
-            Heard::Answer(answer) => {
+            ReportOutcome::Answer(answer) => {
                 if !passed_on {
                     self.heard = now;
                 }
                 Reply::json(200, &answer)
             }
-            Heard::Stale => Reply::error(503, "an older report"),
-            Heard::Deposed => Reply::json(421, &Elsewhere { leader: None }),
+            ReportOutcome::Stale => Reply::error(503, "an older report"),
+            ReportOutcome::Deposed => Reply::json(421, &Elsewhere { leader: None }),
         };
         respond(reply);
     }
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -12,7 +12,7 @@
 use crate::protocol::worker::{Orders, Report};
 use crate::settings::Settings;
 use crate::transport::client::{Answer, Client};
-use crate::transport::courier::Courier;
+use crate::transport::direct_commands::DirectCommands;
 use crate::transport::runtime::Runtime;
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 use serde_json::json;
@@ -30,7 +30,7 @@
 pub struct Pool {
     inbox: Sender<Message>,
     writes: Sender<(u64, Transaction)>,
-    orders: Courier,
+    orders: DirectCommands,
     cloud: Sender<CloudCall>,
     /// Jobs of which the ends are to be read.
     finds: Sender<Vec<Name>>,
@@ -82,7 +82,7 @@
     Ok(Pool {
         inbox: inbox.clone(),
         writes,
-        orders: Courier::new(runtime, order_sockets, ORDER_PATIENCE, MOST_REPORT),
+        orders: DirectCommands::new(runtime, order_sockets, ORDER_PATIENCE, MOST_REPORT),
         cloud,
         finds,
     })
--- a/src/transport/courier.rs
+++ b/src/transport/direct_commands.rs
@@ -16,7 +16,7 @@
 
 /// Sends requests, each on a connection of its own, of which there are at most so many.
 #[derive(Clone)]
-pub struct Courier {
+pub struct DirectCommands {
     runtime: Runtime,
     connections: Arc<Semaphore>,
     within: Duration,
@@ -28,9 +28,14 @@
 
 const FULL_PAUSE: Duration = Duration::from_millis(5);
 
-impl Courier {
-    pub fn new(runtime: &Runtime, connections: usize, within: Duration, most: usize) -> Courier {
-        Courier {
+impl DirectCommands {
+    pub fn new(
+        runtime: &Runtime,
+        connections: usize,
+        within: Duration,
+        most: usize,
+    ) -> DirectCommands {
+        DirectCommands {
             runtime: runtime.clone(),
             connections: Arc::new(Semaphore::new(connections.max(1))),
             within,
@@ -40,9 +45,9 @@
 
     /// Posts a JSON body to an address; what becomes of it is handed to `taker`.
     pub fn post(&self, address: &str, path: &'static str, body: Vec<u8>, mut taker: Taker) {
-        let (courier, address) = (self.clone(), address.to_string());
+        let (direct_commands, address) = (self.clone(), address.to_string());
         self.runtime.spawn(async move {
-            let mut answer = courier.send(&address, path, body).await;
+            let mut answer = direct_commands.send(&address, path, body).await;
             while let Err(back) = taker(answer) {
                 answer = back;
                 tokio::time::sleep(FULL_PAUSE).await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,7 +2,7 @@
 //! controllers.
 
 pub mod client;
-pub mod courier;
+pub mod direct_commands;
 pub mod front;
 pub mod peers;
 pub mod runtime;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::*;
-use stairstage::coordination::core::{Core, Effect, Heard, Written};
+use stairstage::coordination::core::{Core, Effect, ReportOutcome, Written};
 use stairstage::coordination::recovery::Records;
 use stairstage::coordination::state::Name;
 use stairstage::protocol::cloud::MachineType;
@@ -120,7 +120,7 @@
     let mut report = worker_report(machine, seq, 1, tasks);
     report.notice_s = notice_s;
     match core.report(&report, now) {
-        Heard::Answer(answer) => answer.commands,
+        ReportOutcome::Answer(answer) => answer.commands,
         other => panic!("{other:?}"),
     }
 }
--- a/tests/histories/delivery.rs
+++ b/tests/histories/delivery.rs
@@ -6,7 +6,7 @@
 use super::world::{World, WriteFate};
 use serde_json::json;
 use stairstage::bookkeeping::records::LEADER;
-use stairstage::coordination::core::{Effect, Heard, Ordered, Written};
+use stairstage::coordination::core::{Effect, Ordered, ReportOutcome, Written};
 use stairstage::protocol::cloud::Rent;
 use stairstage::protocol::store::Transaction;
 use stairstage::protocol::worker::*;
@@ -204,7 +204,7 @@
         };
         let report = self.workers[i].own_report(sent);
         self.sent.push(report.clone());
-        if let Heard::Answer(answer) = leader.core.report(&report, sent) {
+        if let ReportOutcome::Answer(answer) = leader.core.report(&report, sent) {
             let w = &mut self.workers[i];
             if !answer_lost && !w.deaf && answer.token >= w.token {
                 let started = w.take(&answer, sent, sent);
--- a/tests/histories/steps.rs
+++ b/tests/histories/steps.rs
@@ -7,7 +7,7 @@
 use super::world::{World, WriteFate};
 use proptest::prelude::*;
 use serde_json::json;
-use stairstage::coordination::core::{Effect, Heard};
+use stairstage::coordination::core::{Effect, ReportOutcome};
 use stairstage::protocol::worker::*;
 
 /// Jobs that a history may submit.
@@ -208,7 +208,7 @@
         let decided = self.core().take_effects();
         self.pass(seconds);
         self.elect();
-        if let (Some(report), Some(Heard::Answer(answer))) = (report, heard) {
+        if let (Some(report), Some(ReportOutcome::Answer(answer))) = (report, heard) {
             let w = &mut self.workers[i];
             let taken = answer.token >= w.token && report.session == w.session;
             if taken && seconds < ANSWER_TIMEOUT_S && !w.gone && !w.deaf {
--- a/tests/histories/timed.rs
+++ b/tests/histories/timed.rs
@@ -6,7 +6,7 @@
 use super::settings::machine_types;
 use super::worker::{AwaitedAnswer, Worker, ANSWER_TIMEOUT_S, RETRY_S};
 use super::world::World;
-use stairstage::coordination::core::{Effect, Heard};
+use stairstage::coordination::core::{Effect, ReportOutcome};
 use stairstage::protocol::cloud::{ListedMachine, MachineState};
 use stairstage::protocol::job::Kind;
 use stairstage::protocol::worker::{Command, Orders};
@@ -265,7 +265,7 @@
         }
         let leader = self.controller(hears).expect("it hears");
         let in_doubt = now >= leader.core.valid_until;
-        let Heard::Answer(answer) = leader.core.report(&report, now) else {
+        let ReportOutcome::Answer(answer) = leader.core.report(&report, now) else {
             self.workers[i].next_report = now + RETRY_S;
             return;
         };
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -118,7 +118,7 @@
         let tasks = self.launched.iter().map(show).collect();
         let report = worker_report("m-1", seq, self.core.token, tasks);
         let mut answer = self.core.report(&report, now);
-        if let stairstage::coordination::core::Heard::Answer(answer) = &mut answer {
+        if let stairstage::coordination::core::ReportOutcome::Answer(answer) = &mut answer {
             self.launched.extend(starts(&answer.commands));
         }
         // A direct command has been answered by that as well.
--- a/tests/play/overload.rs
+++ b/tests/play/overload.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::RngSeed;
 use serde_json::json;
 use stairstage::bookkeeping::records::OpenRecord;
-use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome, Written};
 use stairstage::protocol::worker::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -140,7 +140,7 @@
     fn second(&mut self) {
         for machine in 0..MACHINES {
             let report = self.report(machine);
-            if let Heard::Answer(answer) = self.core.report(&report, self.now) {
+            if let ReportOutcome::Answer(answer) = self.core.report(&report, self.now) {
                 self.run(machine, &answer.commands);
             }
         }
--- a/tests/play/simulation.rs
+++ b/tests/play/simulation.rs
@@ -6,7 +6,7 @@
 use crate::workload::{JobPlan, Random};
 use serde_json::json;
 use stairstage::bookkeeping::records::*;
-use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome, Written};
 use stairstage::protocol::cloud::{ListedMachine, MachineState, MachineType};
 use stairstage::protocol::job::{parse_task, JobState};
 use stairstage::protocol::store::Transaction;
@@ -387,7 +387,7 @@
                 continue;
             };
             let heard = core.report(&worker.report(), now);
-            if let Heard::Answer(answer) = heard {
+            if let ReportOutcome::Answer(answer) = heard {
                 if worker.hears(now) && worker.take_answer(&answer, now) {
                     self.obey(&name, &answer.commands);
                 }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use stairstage::bookkeeping::records::OpenRecord;
-use stairstage::coordination::core::{Core, Effect, Heard, Ordered, Written};
+use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome, Written};
 use stairstage::coordination::redirects::Redirects;
 use stairstage::protocol::cloud::{ListedMachine, MachineState};
 use stairstage::protocol::job::JobState;
@@ -35,7 +35,9 @@
 
 fn answered(core: &mut Core, report: &Report, now: f64) -> Vec<String> {
     match core.report(report, now) {
-        Heard::Answer(answer) => starts(&answer.commands).into_iter().map(|s| s.0).collect(),
+        ReportOutcome::Answer(answer) => {
+            starts(&answer.commands).into_iter().map(|s| s.0).collect()
+        }
         other => panic!("{other:?}"),
     }
 }
@@ -122,7 +124,7 @@
     // Well over a lease later, with time passing meanwhile.
     for i in 1..40 {
         core.tick(f64::from(i));
-        assert_eq!(core.report(&copy, f64::from(i)), Heard::Stale);
+        assert_eq!(core.report(&copy, f64::from(i)), ReportOutcome::Stale);
         assert_eq!(core.machine_count(), 0);
     }
 }
@@ -199,7 +201,7 @@
     // An earlier process of that machine had come to its second session, under an earlier leader.
     let mut copy = worker_report("m-1", 9, 3, vec![]);
     copy.session = 2;
-    assert_eq!(core.report(&copy, 1.0), Heard::Stale);
+    assert_eq!(core.report(&copy, 1.0), ReportOutcome::Stale);
     answered(&mut core, &worker_report("m-2", 1, 5, vec![]), 1.0);
     assert!(launched(&mut core, 2.0).is_empty(), "they may run on m-1");
 }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -319,22 +319,22 @@
         entries in prop::collection::vec(("[a-z\"\\\\\u{1}-]{1,30}", 0u32..100_000, any::<u64>(), "[a-z0-9\"-]{1,30}"), 1..40),
         done in prop::collection::btree_set(0u32..100_000, 0..200),
     ) {
-        let mut slab = stairstage::coordination::state::Slab::default();
+        let mut placement_record = stairstage::coordination::state::PlacementRecord::default();
         let mut record = PlaceRecord::default();
         for (id, task, attempt, machine) in &entries {
-            slab.insert(((&**id).into(), *task, *attempt), (&**machine).into());
+            placement_record.insert(((&**id).into(), *task, *attempt), (&**machine).into());
         }
-        for ((id, task, attempt), machine) in slab.entries() {
+        for ((id, task, attempt), machine) in placement_record.entries() {
             let machines = record.places.entry(id.to_string()).or_default();
             machines.entry(machine.to_string()).or_default().push((*task, *attempt));
         }
         let bytes = serde_json::to_string(&record).unwrap().len();
-        prop_assert!(bytes <= slab.bytes(), "{} of {}", bytes, slab.bytes());
-        let all: Vec<_> = slab.entries().iter().cloned().collect();
+        prop_assert!(bytes <= placement_record.bytes(), "{} of {}", bytes, placement_record.bytes());
+        let all: Vec<_> = placement_record.entries().iter().cloned().collect();
         for entry in &all {
-            prop_assert!(slab.remove(entry));
+            prop_assert!(placement_record.remove(entry));
         }
-        prop_assert_eq!(slab.bytes(), EMPTY_BYTES);
+        prop_assert_eq!(placement_record.bytes(), EMPTY_BYTES);
         let mut run = RunRecord::default();
         done.iter().for_each(|t| run.push_done(*t));
         prop_assert!(serde_json::to_string(&run).unwrap().len() <= run.bytes());
