Spread gangs: machines are rented in zones that may take more of the gang's tasks

Cause: what a spread gang lacked was counted by zone, but rented in the cheapest zone, also where the gang could use nothing more; an overdue gang bound by a rule about zones did the same. Change: the demand of a gang names the zones in which it lacks room, and passes over those that the cloud has lately refused; overdue gangs with such a rule go by the free room of each zone. tests/shortfall.rs becomes tests/demand.rs, with two cases more.

--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -6,7 +6,8 @@
 use super::Time;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobSpec, Kind};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::iter::repeat_n;
 use std::sync::Arc;
 
@@ -29,13 +30,15 @@
     }
 }
 
-/// A machine that is up, boots or has been asked for, with the room that no service takes.
+/// A machine that is up, boots or has been asked for, with the room that no service takes, and the
+/// room that nothing takes.
 #[derive(Clone)]
 struct Supply<'a> {
     kind: &'a MachineType,
     zone: &'a str,
     spot: bool,
     room: Room,
+    free: Room,
 }
 
 impl Supply<'_> {
@@ -59,6 +62,19 @@
     allowed && Room::of_type(kind).fits(&Room::of(spec))
 }
 
+/// How many tasks of a job fit machines of each zone, by the room that counts.
+fn slots_by_zone<'a>(
+    job: &Job,
+    supply: &[Supply<'a>],
+    room: impl Fn(&Supply) -> Room,
+) -> BTreeMap<&'a str, u32> {
+    let mut slots: BTreeMap<&str, u32> = BTreeMap::new();
+    for machine in supply.iter().filter(|s| s.suits(&job.spec)) {
+        *slots.entry(machine.zone).or_default() += room(machine).slots(&job.need());
+    }
+    slots
+}
+
 /// Demands of the same shape and with the same choice of machines as one.
 pub(super) fn merged(demands: Vec<Demand>) -> Vec<Demand> {
     let mut merged: Vec<Demand> = Vec::new();
@@ -158,7 +174,13 @@
                 });
             }
         }
+        let supply = self.supply(now);
         for job in self.overdue_batches(now) {
+            if job.spec.kind == Kind::Gang && (job.spec.one_zone || job.spec.spread) {
+                let free = slots_by_zone(job, &supply, |machine| machine.free);
+                demands.extend(self.gang_demands(job, &free));
+                continue;
+            }
             let tasks = match job.spec.kind {
                 Kind::Gang => job.spec.tasks,
                 _ => 1,
@@ -172,7 +194,7 @@
                 });
             }
         }
-        demands.extend(self.batch_demands(now));
+        demands.extend(self.batch_demands(&supply, now));
         demands
     }
 
@@ -185,6 +207,7 @@
                 zone: &r.zone,
                 spot: r.spot,
                 room: Room::of_type(kind),
+                free: Room::of_type(kind),
             });
             let count = r.count as usize;
             supply.extend(coming.into_iter().flat_map(|s| repeat_n(s, count)));
@@ -203,6 +226,7 @@
                 zone: &m.zone,
                 spot: m.spot,
                 room,
+                free: self.free_room(m),
             });
         }
         supply
@@ -221,18 +245,20 @@
 
     /// What the queue needs: enough that each job, after those before it, ends in its time, on
     /// machines that it may use; and for a gang, room for all of its tasks at once.
-    fn batch_demands(&self, now: Time) -> Vec<Demand> {
+    fn batch_demands(&self, supply: &[Supply], now: Time) -> Vec<Demand> {
         let mut batches: Vec<&Job> = self
             .jobs
             .values()
             .filter(|j| !j.is_service() && j.may_begin() && now >= j.retry_at)
             .collect();
         batches.sort_by_key(|j| j.seq);
-        let supply = self.supply(now);
         let running = self.work_running(now);
         let mut demands = Vec::new();
         for jobs in self.by_choice(&batches).values() {
-            demands.extend(self.gang_demand(jobs, &supply));
+            if let Some(gang) = self.largest_gang(jobs) {
+                let slots = slots_by_zone(gang, supply, |machine| machine.room);
+                demands.extend(self.gang_demands(gang, &slots));
+            }
             let suitable = supply.iter().filter(|s| s.suits(&jobs[0].spec));
             // What may use every machine is part of the demand of all.
             if suitable.clone().count() < supply.len() {
@@ -248,7 +274,7 @@
     }
 
     /// Batches that have found no room for so long that they get machines of their own: those at hand
-    /// may suffice to end them in time, and yet not to begin them.
+    /// may suffice to end them in time, and yet not to begin them, or to begin them again.
     fn overdue_batches(&self, now: Time) -> impl Iterator<Item = &Job> {
         let batches = self.jobs.values().filter(|j| !j.is_service());
         batches.filter(move |j| j.may_begin() && now >= j.retry_at && j.is_overdue(now))
@@ -285,51 +311,106 @@
         others.map(|(_, place)| place.load.need.cpus).sum()
     }
 
-    /// The room that the largest of these gangs lacks though all machines that it may use were empty.
-    fn gang_demand(&self, jobs: &[&Job], supply: &[Supply]) -> Option<Demand> {
+    /// The gang with the most work left that its team's limit lets start.
+    fn largest_gang<'a>(&self, jobs: &[&'a Job]) -> Option<&'a Job> {
         let gangs = jobs.iter().filter(|j| j.spec.kind == Kind::Gang);
         let startable = gangs.filter(|j| self.wanted(j, j.spec.tasks) == j.spec.tasks);
-        let job = startable.max_by(|a, b| a.work_left().total_cmp(&b.work_left()))?;
-        let mut slots: BTreeMap<&str, u32> = BTreeMap::new();
-        for machine in supply.iter().filter(|s| s.suits(&job.spec)) {
-            *slots.entry(machine.zone).or_default() += machine.room.slots(&job.need());
-        }
-        let mut spec = job.spec.clone();
-        let have = match job.spec.one_zone {
-            false => slots.values().map(|n| (*n).min(job.most_in_zone())).sum(),
-            true => {
-                let zone = self.zone_for(job, &slots)?;
-                Arc::make_mut(&mut spec).zone = Some(zone.to_string());
-                slots.get(zone).copied().unwrap_or(0)
+        let largest = startable.max_by(|a, b| a.work_left().total_cmp(&b.work_left()));
+        largest.copied()
+    }
+
+    /// What a gang lacks to start, if so many of its tasks fit each zone.
+    fn gang_demands(&self, job: &Job, slots: &BTreeMap<&str, u32>) -> Vec<Demand> {
+        let lacks = match (job.spec.one_zone, job.spec.spread) {
+            (true, _) => self.lack_in_one_zone(job, slots).into_iter().collect(),
+            (false, true) => self.lacks_by_zone(job, slots),
+            (false, false) => {
+                let have = slots.values().sum();
+                vec![(None, job.spec.tasks.saturating_sub(have))]
             }
         };
-        let count = job.spec.tasks.saturating_sub(have);
-        (count > 0).then_some(Demand {
+        let lacks = lacks.into_iter().filter(|(_, count)| *count > 0);
+        lacks
+            .map(|(zone, count)| self.gang_demand(job, zone, count))
+            .collect()
+    }
+
+    /// So many tasks of a gang want machines, in a zone if it is given.
+    fn gang_demand(&self, job: &Job, zone: Option<&str>, count: u32) -> Demand {
+        let mut spec = job.spec.clone();
+        if let Some(zone) = zone {
+            Arc::make_mut(&mut spec).zone = Some(zone.to_string());
+        }
+        Demand {
             spot: job.spec.spot && self.settings.policy.spot,
             spec,
             count,
-        })
+        }
+    }
+
+    /// What a gang that must be in one zone lacks in the zone where that is the least.
+    fn lack_in_one_zone<'a>(
+        &'a self,
+        job: &'a Job,
+        slots: &BTreeMap<&str, u32>,
+    ) -> Option<(Option<&'a str>, u32)> {
+        let zone = self.zone_for(job, slots)?;
+        let have = slots.get(zone).copied().unwrap_or(0);
+        Some((Some(zone), job.spec.tasks.saturating_sub(have)))
+    }
+
+    /// What a spread gang lacks, in zones that may take more of its tasks, the fullest first.
+    fn lacks_by_zone<'a>(
+        &'a self,
+        job: &'a Job,
+        slots: &BTreeMap<&str, u32>,
+    ) -> Vec<(Option<&'a str>, u32)> {
+        let most = job.most_in_zone();
+        let usable = |zone: &str| slots.get(zone).map_or(0, |n| (*n).min(most));
+        let have: u32 = slots.keys().map(|zone| usable(zone)).sum();
+        let mut left = job.spec.tasks.saturating_sub(have);
+        let offers = self.offers(&job.spec);
+        let given = offers.filter(|(kind, zone)| self.may_be_had(&job.spec, kind, zone));
+        let zones: BTreeSet<&str> = given.map(|(_, zone)| zone).collect();
+        let mut zones: Vec<&str> = zones.into_iter().collect();
+        zones.sort_by_key(|zone| Reverse(usable(zone)));
+        let mut lacks = Vec::new();
+        for zone in zones {
+            let count = left.min(most - usable(zone));
+            left -= count;
+            lacks.push((Some(zone), count));
+        }
+        lacks
     }
 
     /// The zone in which a gang lacks the least room, among those where the cloud has not lately
     /// refused all machines that it may use.
-    fn zone_for<'a>(&'a self, job: &Job, slots: &BTreeMap<&str, u32>) -> Option<&'a str> {
+    fn zone_for<'a>(&'a self, job: &'a Job, slots: &BTreeMap<&str, u32>) -> Option<&'a str> {
         let spec = &job.spec;
-        let kinds = self.types.iter().filter(|t| may_use_type(spec, t));
-        let offers = kinds.flat_map(|t| t.zones.iter().map(move |zone| (t, zone)));
-        let allowed = offers.filter(|(_, zone)| spec.zone.as_ref().is_none_or(|z| z == *zone));
-        let given = allowed.filter(|(t, zone)| {
-            let refused = |spot| {
-                let offer = (t.name.as_str().into(), zone.as_str().into(), spot);
-                self.fleet.refused.contains_key(&offer)
-            };
-            let enough = slots.get(zone.as_str()).is_some_and(|n| *n >= spec.tasks);
-            enough || !refused(false) || spec.spot && !refused(true)
+        let given = self.offers(spec).filter(|(kind, zone)| {
+            let enough = slots.get(zone).is_some_and(|n| *n >= spec.tasks);
+            enough || self.may_be_had(spec, kind, zone)
         });
-        let zones = given.map(|(_, zone)| zone.as_str());
+        let zones = given.map(|(_, zone)| zone);
         zones.max_by_key(|zone| slots.get(zone).copied().unwrap_or(0))
     }
 
+    /// The types that a job may use, with each zone in which they are offered and it may be.
+    fn offers<'a>(&'a self, spec: &'a JobSpec) -> impl Iterator<Item = (&'a MachineType, &'a str)> {
+        let kinds = self.types.iter().filter(|t| may_use_type(spec, t));
+        let offers = kinds.flat_map(|t| t.zones.iter().map(move |zone| (t, zone.as_str())));
+        offers.filter(|(_, zone)| spec.zone.as_ref().is_none_or(|z| z == zone))
+    }
+
+    /// Whether the cloud has not lately refused such machines for the job.
+    fn may_be_had(&self, spec: &JobSpec, kind: &MachineType, zone: &str) -> bool {
+        let refused = |spot| {
+            let offer = (kind.name.as_str().into(), zone.into(), spot);
+            self.fleet.refused.contains_key(&offer)
+        };
+        !refused(false) || spec.spot && !refused(true)
+    }
+
     /// Seconds until a machine is up, on average over the types.
     fn boot_s(&self) -> f64 {
         let boots = self.types.iter().map(|t| t.boot_s);
--- a/tests/shortfall.rs
+++ b/tests/demand.rs
@@ -1,5 +1,5 @@
-//! Jobs that no machine at hand could ever hold: a machine is rented for them, however little work
-//! there is.
+//! The demand for machines (`src/coordination/demand.rs`) in small cases: jobs that no machine at hand
+//! could hold, however little work there is. Each says what is rented for one job beside one machine.
 
 mod common;
 
@@ -9,6 +9,9 @@
 use stairstage::coordination::core::{Core, Effect};
 use stairstage::protocol::cloud::{MachineType, Rent};
 
+/// Seconds after which a job that has not begun is overdue, and a little more.
+const OVERDUE_S: i32 = 140;
+
 /// A fleet of one machine in zone `z`; the only type is offered in two zones.
 fn one_machine() -> Core {
     let mut core = core();
@@ -72,3 +75,31 @@
     assert_eq!(rents.len(), 1, "{rents:?}");
     assert_eq!((rents[0].zone.as_str(), rents[0].count), ("z", 1));
 }
+
+#[test]
+fn a_spread_gang_that_is_larger_than_the_fleet_gets_machines_in_both_zones() {
+    let rents = rented(&mut one_machine(), "group", 16, &[("spread", json!(true))]);
+    let by_zone: Vec<(&str, u32)> = rents.iter().map(|r| (r.zone.as_str(), r.count)).collect();
+    assert_eq!(by_zone, [("z", 1), ("y", 2)]);
+}
+
+#[test]
+fn an_overdue_spread_gang_gets_no_machine_where_it_helps_nothing() {
+    let mut core = one_machine();
+    let first = rented(&mut core, "group", 2, &[("spread", json!(true))]);
+    let mut unanswered = first;
+    for second in 5..OVERDUE_S {
+        let now = f64::from(second);
+        for rent in unanswered.drain(..) {
+            assert_eq!(rent.zone, "y", "at {second} s");
+            core.rented(&rent.request, Some(Vec::new()), now);
+        }
+        report(&mut core, 1 + second as u64, Vec::new(), now);
+        core.tick(now);
+        carry_out(&mut core, now, |_, effect| {
+            if let Effect::Rent(rent) = effect {
+                unanswered.push(rent);
+            }
+        });
+    }
+}
