Revert "Jobs that lost all their places are overdue again like those that never began"

With it tests/play fails: overload::everybody_is_served_and_the_largest_begin_in_time, pressure 1.59 (25 of 26 pass): under overload, jobs that began go before the largest that have not. The fault that it mends stays open: a job that lost its places while long tasks fill the fleet has nothing rented for it.

--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 /// The users' check at the end of a day: a class's largest jobs begin within this time; and the
-/// share of it after which a job of which nothing is placed goes before others.
+/// share of it after which a job that has not begun goes before others.
 const BEGINS_WITHIN_S: f64 = 240.0;
 const OVERDUE_SHARE: f64 = 0.5;
 
@@ -52,8 +52,6 @@
     /// No task before this one can be placed.
     pub first_open: usize,
     pub first_run: Option<Time>,
-    /// When its last place was lost or ended; its arrival before it had any.
-    pub idle_since: Time,
 }
 
 impl Job {
@@ -89,7 +87,6 @@
             setbacks: 0,
             first_open: 0,
             first_run: None,
-            idle_since: arrived,
             spec,
         }
     }
@@ -108,11 +105,10 @@
         }
     }
 
-    /// Whether nothing of it has had a place for so long that it goes before others, whatever it
-    /// yields to. A job that has lost its places may starve like one that has not begun.
+    /// Whether nothing of it has begun for so long that it goes before others, whatever it yields to.
     pub fn is_overdue(&self, now: Time) -> bool {
-        let waits = self.live == 0 && self.unplaced_count() > 0;
-        waits && now - self.ready.max(self.idle_since) > BEGINS_WITHIN_S * OVERDUE_SHARE
+        let waits = self.first_run.is_none() && self.live == 0 && self.done == 0;
+        waits && now - self.ready > BEGINS_WITHIN_S * OVERDUE_SHARE
     }
 
     /// The processor seconds that are left, by its prediction; what runs is half done on average.
