--- a/tests/common/lease_store.rs
+++ b/tests/common/lease_store.rs
@@ -1,6 +1,7 @@
 //! A model of the state service in virtual time: keys, versions, conditions and leases, as the
 //! protocol describes them.
 
+use super::random::SplitMix64;
 use serde_json::Value;
 use stairstage::bookkeeping::records::{LeaderRecord, LEADER};
 use stairstage::bookkeeping::store::{Outcome, Renewal};
@@ -16,25 +17,16 @@
 pub const LATEST_END: Micros = SECOND / 10;
 
 /// Pseudo-random numbers that depend on nothing but a seed.
-pub struct Random(u64);
+pub struct Random(SplitMix64);
 
 impl Random {
     pub fn new(seed: u64) -> Random {
-        Random(seed)
-    }
-
-    /// SplitMix64.
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
+        Random(SplitMix64(seed))
     }
 
     /// A number from `low` to `high`, both included.
     pub fn between(&mut self, low: u64, high: u64) -> u64 {
-        low + self.next() % (high - low + 1)
+        low + self.0.next() % (high - low + 1)
     }
 
     pub fn chance(&mut self, share: f64) -> bool {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What several tests of the core begin with.
 #![allow(dead_code)] // no test uses all of it
 
+pub mod random;
+
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::*;
 use stairstage::coordination::core::{Core, Effect, ReportOutcome, Written};
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -5,6 +5,8 @@
 mod election_cluster;
 #[path = "common/lease_store.rs"]
 mod lease_store;
+#[path = "common/random.rs"]
+mod random;
 
 use election_cluster::Cluster;
 use lease_store::{Micros, LATEST_END, SECOND};
--- a/tests/play/cancellations.rs
+++ b/tests/play/cancellations.rs
@@ -8,7 +8,7 @@
 #[test]
 fn a_quarter_of_four_jobs_a_second_cancelled_also_at_their_start_holds_up_nobody() {
     check_days(8, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let teams = [team("t", 0.0, 16.0), team("u", 0.0, 16.0)];
         let mut play = Simulation::new(seed, &teams, &["z"], Cloud::with_capacity(12));
         play.add_machines("z", 8);
--- a/tests/play/failures.rs
+++ b/tests/play/failures.rs
@@ -27,7 +27,7 @@
 #[test]
 fn jobs_that_fail_everywhere_cost_no_machine_and_hold_up_nobody() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
         let machines = play.add_machines("z", 6);
         play.plan(mixed(&mut random, 24.0, 0.6, 120.0));
@@ -43,7 +43,7 @@
 #[test]
 fn a_faulty_machine_holds_up_nobody() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
         let machines = play.add_machines("z", 6);
         let faulty = &machines[random.below(6) as usize];
@@ -60,7 +60,7 @@
 #[test]
 fn a_gang_goes_round_the_machine_where_it_failed() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
         let machines = play.add_machines("z", 4);
         let faulty = &machines[random.below(4) as usize];
--- a/tests/play/guests.rs
+++ b/tests/play/guests.rs
@@ -8,7 +8,7 @@
 #[test]
 fn a_huge_array_and_a_swarm_of_guests_leave_everybody_served() {
     check_days(6, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let teams = [
             team("t", 8.0, 0.0),
             team("u", 8.0, 0.0),
@@ -44,7 +44,7 @@
 #[test]
 fn an_array_of_a_team_at_its_limit_holds_no_reservation() {
     check_days(12, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let teams = [team("t", 0.0, 0.0), team("guest", 0.0, 8.0)];
         let mut play = Simulation::new(seed, &teams, &["z"], Cloud::full());
         play.add_machines("z", 4);
--- a/tests/play/leaders.rs
+++ b/tests/play/leaders.rs
@@ -11,7 +11,7 @@
 #[test]
 fn teams_at_their_limit_go_on_after_places_could_not_be_proven_gone() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let teams = [team("t", 0.0, 8.0), team("u", 0.0, 8.0)];
         let mut play = Simulation::new(seed, &teams, &["z"], Cloud::with_capacity(8));
         play.add_machines("z", 6);
@@ -41,7 +41,7 @@
 #[test]
 fn work_on_new_machines_survives_lagging_writes_and_the_end_of_the_leader() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::with_capacity(10));
         play.plan(mixed(&mut random, 24.0, 0.8, 90.0));
         play.state.delay_s = 1.0 + random.between(0.0, 3.0).floor();
@@ -67,7 +67,7 @@
 #[test]
 fn jobs_whose_tasks_end_far_apart_are_done_after_changes_of_leader() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::with_capacity(10));
         play.add_machines("z", 4);
         let plans = (0..30).map(|i| JobPlan {
--- a/tests/play/meetings.rs
+++ b/tests/play/meetings.rs
@@ -128,7 +128,7 @@
 #[test]
 fn troubles_of_all_kinds_that_meet_leave_everybody_served() {
     check_days(40, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let limit = if random.chance(0.5) { 14.0 } else { 0.0 };
         let teams = [team("t", 4.0, limit), team("u", 0.0, limit)];
         let mut play = Simulation::new(seed, &teams, &ZONES, Cloud::with_capacity(5));
--- a/tests/play/reservations.rs
+++ b/tests/play/reservations.rs
@@ -11,7 +11,7 @@
 /// Tasks that leave a little room on every machine, and run for longer than their owner expects;
 /// the head of the queue waits for whole machines, and small jobs come all the time.
 fn day_behind(seed: u64, head: JobPlan) -> Simulation {
-    let mut random = Random(seed);
+    let mut random = Random::new(seed);
     let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
     play.add_machines("z", MACHINES);
     let long = JobPlan {
--- a/tests/play/simulation.rs
+++ b/tests/play/simulation.rs
@@ -113,7 +113,7 @@
         }];
         let mut simulation = Simulation {
             now: 0.0,
-            random: Random(seed),
+            random: Random::new(seed),
             settings: Arc::new(settings),
             types,
             store: Store::default(),
--- a/tests/play/state_service.rs
+++ b/tests/play/state_service.rs
@@ -8,7 +8,7 @@
 #[test]
 fn urgent_and_other_work_is_served_after_writes_lagged_and_failed() {
     check_days(8, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
         play.add_machines("z", 6);
         let mut plans = mixed(&mut random, 24.0, 1.3, 120.0);
@@ -35,7 +35,7 @@
 #[test]
 fn everybody_is_served_after_changes_were_scarce_for_minutes() {
     check_days(6, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::with_capacity(12));
         play.add_machines("z", 6);
         play.plan(mixed(&mut random, 24.0, 0.7, 180.0));
--- a/tests/play/workload.rs
+++ b/tests/play/workload.rs
@@ -1,26 +1,23 @@
 //! Generated jobs, and the numbers they are generated from.
 
+use crate::common::random::SplitMix64;
 use crate::common::submission;
 use serde_json::{json, Value};
 
-/// A small generator with a fixed sequence for each seed (SplitMix64).
-pub struct Random(pub u64);
+/// Numbers with a fixed sequence for each seed.
+pub struct Random(SplitMix64);
 
 impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        z ^ (z >> 31)
+    pub fn new(seed: u64) -> Random {
+        Random(SplitMix64(seed))
     }
 
     pub fn below(&mut self, most: u64) -> u64 {
-        self.next() % most.max(1)
+        self.0.next() % most.max(1)
     }
 
     pub fn between(&mut self, low: f64, high: f64) -> f64 {
-        low + (high - low) * (self.next() >> 11) as f64 / (1u64 << 53) as f64
+        low + (high - low) * (self.0.next() >> 11) as f64 / (1u64 << 53) as f64
     }
 
     pub fn chance(&mut self, share: f64) -> bool {
--- a/tests/play/zones.rs
+++ b/tests/play/zones.rs
@@ -32,7 +32,7 @@
 #[test]
 fn jobs_bound_to_a_zone_get_new_machines_there_when_it_loses_its_own() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = fleet(seed, Cloud::with_capacity(8), 5);
         play.plan(bound(&mut random, 24.0, 0.5));
         let lost_at = 20.0 + random.between(0.0, 20.0).floor();
@@ -51,7 +51,7 @@
 #[test]
 fn a_job_bound_to_a_zone_that_others_fill_gets_a_machine_there() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = fleet(seed, Cloud::with_capacity(8), 0);
         play.add_machines("a", 1);
         play.plan(vec![
@@ -81,7 +81,7 @@
 #[test]
 fn an_array_bound_to_an_empty_zone_is_served_while_other_zones_have_room() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = fleet(seed, Cloud::with_capacity(8), 0);
         play.add_machines("b", 4);
         let tasks = 1 + random.below(12) as u32;
@@ -100,7 +100,7 @@
 #[test]
 fn a_gang_gets_as_many_machines_as_its_tasks_need_at_once() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = fleet(seed, Cloud::with_capacity(8), 1);
         play.plan(vec![JobPlan {
             at_s: 5.0,
@@ -120,7 +120,7 @@
 #[test]
 fn a_gang_in_one_zone_goes_where_machines_are_to_be_had() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = fleet(seed, Cloud::with_capacity(8), 0);
         play.add_machines("a", 2);
         play.cloud.sold_out = Some("a");
@@ -139,7 +139,7 @@
 
 /// A gang that waits first in the queue until its user gives it up; the others go on meanwhile.
 fn day_of_a_gang_that_never_fits(seed: u64, gang: JobPlan) -> Simulation {
-    let mut random = Random(seed);
+    let mut random = Random::new(seed);
     let mut play = fleet(seed, Cloud::full(), 2);
     play.add_machines("c", 2);
     play.plan(mixed(&mut random, 32.0, 0.6, 100.0));
@@ -190,7 +190,7 @@
 #[test]
 fn a_gang_that_waits_for_its_zone_leaves_other_zones_to_others() {
     check_days(SEEDS, |seed| {
-        let mut random = Random(seed);
+        let mut random = Random::new(seed);
         let mut play = fleet(seed, Cloud::full(), 2);
         play.plan(vec![
             JobPlan {
