Histories: the state service refuses the leader alone, then everybody, while others confirm cancellations

Change: a leader in the histories renews by CancellationEvidence, and two other controllers keep the product's log of what they confirm.

--- a/tests/histories/leader.rs
+++ b/tests/histories/leader.rs
@@ -1,40 +1,77 @@
 //! A controller that leads or has led, and for how long it may renew the leases of workers.
 
+use super::peers::Peers;
+use stairstage::coordination::cancellations::CancellationEvidence;
 use stairstage::coordination::core::Core;
+use stairstage::protocol::job::JobState;
 use stairstage::settings::Workers;
 
-/// How far apart the steady clocks of a controller and a worker may run, as a share of the time.
-const CLOCK_DRIFT: f64 = 0.001;
-
 pub struct Leader {
     pub core: Core,
     /// Whether it still reaches the state service, and so learns of every confirmed cancellation.
     pub reaches_store: bool,
-    /// Without the state service: the last moment at which it provably knew of every confirmed
-    /// cancellation.
-    pub knew_at: f64,
+    /// Whether it reaches the other controllers, and so learns of what they confirm.
+    pub reaches_peers: bool,
+    /// What proves that it knows of every confirmed cancellation.
+    evidence: CancellationEvidence,
+    /// When it last asked the other controllers.
+    asked_at: f64,
 }
 
 impl Leader {
-    pub fn new(core: Core) -> Leader {
-        Leader {
+    /// A leader that has read the records at `now`.
+    pub fn new(core: Core, peers: &Peers, now: f64) -> Leader {
+        let mut leader = Leader {
             core,
             reaches_store: true,
-            knew_at: 0.0,
-        }
+            reaches_peers: true,
+            evidence: CancellationEvidence::new(peers.names()),
+            asked_at: now,
+        };
+        leader.records_read(now);
+        leader
+    }
+
+    /// Every cancellation on record at `sent` is known to it.
+    pub fn records_read(&mut self, sent: f64) {
+        self.evidence.records_read(sent);
     }
 
-    /// It has lost the state service; what was confirmed before that moment is known to it.
-    pub fn cut_off(&mut self, knew_at: f64) {
+    /// It loses the state service; what was confirmed before that moment is known to it.
+    pub fn lose_store(&mut self, known_until: f64) {
         if self.reaches_store {
             self.reaches_store = false;
-            self.knew_at = knew_at;
+            self.records_read(known_until);
+        }
+    }
+
+    /// It loses the state service and the other controllers.
+    pub fn cut_off(&mut self, known_until: f64) {
+        self.lose_store(known_until);
+        self.reaches_peers = false;
+    }
+
+    /// Asks the other controllers which cancellations they have confirmed, if it is time to.
+    pub fn ask_peers(&mut self, peers: &Peers, now: f64, pause_s: f64) {
+        if !self.reaches_peers || now - self.asked_at < pause_s {
+            return;
+        }
+        self.asked_at = now;
+        for name in peers.names() {
+            let asked = self.evidence.cursor(name);
+            let Some(answer) = peers.ask(name, asked, now) else {
+                continue;
+            };
+            for job in &answer.page.jobs {
+                self.core.ended(job, JobState::Cancelled, now);
+            }
+            self.evidence.peer_answered(&answer);
         }
     }
 
     /// Whether it may answer reports, and so renew the leases of workers.
     pub fn may_renew(&self, now: f64, workers: &Workers) -> bool {
-        self.reaches_store || now < renews_until(self.knew_at, workers)
+        self.reaches_store || self.evidence.may_renew(workers, now)
     }
 
     /// Tokens of its leadership begin here; no other leadership has the same.
@@ -42,10 +79,3 @@
         self.core.first_token()
     }
 }
-
-/// Until when a controller may renew leases that last knew of every confirmed cancellation at
-/// `knew_at`: a lease that it renews then is over before `cancel_s` have passed since the first
-/// cancellation that it may have missed.
-pub fn renews_until(knew_at: f64, workers: &Workers) -> f64 {
-    knew_at + (workers.cancel_s - workers.lease_s) * (1.0 - CLOCK_DRIFT)
-}
--- a/tests/histories/main.rs
+++ b/tests/histories/main.rs
@@ -16,6 +16,7 @@
 mod job;
 mod leader;
 mod network;
+mod peers;
 mod random;
 mod settings;
 mod steps;
--- a/tests/histories/timed.rs
+++ b/tests/histories/timed.rs
@@ -18,6 +18,8 @@
 /// Seconds between slower decisions of the leader, and between two lists of machines, in ticks.
 const TICKS_A_DECISION: u64 = 4;
 const TICKS_A_LIST: u64 = 16;
+/// Questions of a leader to each other controller in a report interval.
+const PEER_QUERIES: f64 = 4.0;
 /// Open jobs that keep the teams at their limits, and the share of ticks in which one is cancelled.
 const SMALL_JOBS: usize = 16;
 const CANCELLED_SHARE: f64 = 0.15;
@@ -165,6 +167,7 @@
         let now = self.now;
         let tick = (now / TICK_S).round() as u64;
         let list = (tick % TICKS_A_LIST == 0).then(|| self.machine_list());
+        let known_until = self.known_until();
         let Some(leader) = &mut self.leader else {
             return;
         };
@@ -174,6 +177,11 @@
         if tick % TICKS_A_DECISION == 0 {
             leader.core.tick(now);
         }
+        let pause_s = self.settings.cluster.workers.report_s / PEER_QUERIES;
+        leader.ask_peers(&self.peers, now, pause_s);
+        if leader.reaches_store {
+            leader.records_read(known_until);
+        }
         leader.core.step(now);
         let deposed = leader.core.deposed;
         self.let_formers_decide();
--- a/tests/histories/world.rs
+++ b/tests/histories/world.rs
@@ -4,6 +4,7 @@
 use super::job::{split, Job};
 use super::leader::Leader;
 use super::network::Network;
+use super::peers::Peers;
 use super::settings::SETTINGS;
 use super::tasks::GangRun;
 use super::worker::Worker;
@@ -40,6 +41,10 @@
     pub leader: Option<Leader>,
     /// Earlier leaders that may still answer reports, the last one last.
     pub formers: Vec<Leader>,
+    /// The controllers that never lead here; users cancel jobs by way of them.
+    pub peers: Peers,
+    /// The state service is down for all.
+    pub store_is_down: bool,
     /// Every report that was sent, and transactions that may be carried out late.
     pub sent: Vec<Report>,
     pub late: Vec<Transaction>,
@@ -67,6 +72,8 @@
             workers,
             leader: None,
             formers: Vec::new(),
+            peers: Peers::new(),
+            store_is_down: false,
             sent: Vec::new(),
             late: Vec::new(),
             held: Vec::new(),
@@ -92,7 +99,8 @@
         core.set_types(self.types.clone());
         core.valid_until = f64::INFINITY;
         core.recover(self.store.records(), 0, self.now);
-        if let Some(mut former) = self.leader.replace(Leader::new(core)) {
+        let leader = Leader::new(core, &self.peers, self.now);
+        if let Some(mut former) = self.leader.replace(leader) {
             former.core.valid_until = former.core.valid_until.min(self.now);
             former.cut_off(self.known_until());
             self.formers.push(former);
@@ -108,11 +116,19 @@
         isolated.map(|l| l.core.valid_until)
     }
 
-    /// The leader loses the state service; its lease there goes on for a while.
+    /// The leader loses the state service and the other controllers; its lease goes on for a while.
     pub fn isolate_leader(&mut self, lease_s: f64) {
+        self.refuse_leader(lease_s);
+        if let Some(leader) = &mut self.leader {
+            leader.reaches_peers = false;
+        }
+    }
+
+    /// The state service refuses the leader; its lease there goes on for a while.
+    pub fn refuse_leader(&mut self, lease_s: f64) {
         let (known_until, now) = (self.known_until(), self.now);
         if let Some(leader) = self.leader.as_mut().filter(|l| l.reaches_store) {
-            leader.cut_off(known_until);
+            leader.lose_store(known_until);
             leader.core.valid_until = now + lease_s;
         }
     }
@@ -134,7 +150,7 @@
                 former.core.ended(id, JobState::Cancelled, self.now);
             }
             former.core.take_effects();
-            former.knew_at = self.now;
+            former.records_read(self.now);
         }
     }
 
@@ -229,6 +245,7 @@
             .put(end_key(id), json!({"state":"cancelled"}))
             .put(open_key(id), serde_json::to_value(&record).unwrap());
         if self.commit_of_a_node(&txn).is_ok() {
+            self.peers.confirm(id);
             let job = self.jobs.get_mut(id).expect("an accepted job");
             job.cancelled_at = Some(self.now);
             self.end_is_news(id);
@@ -238,12 +255,29 @@
     /// What nodes write for users has other bounds than these histories', which are narrow so that
     /// the leader's records are cut often.
     fn commit_of_a_node(&mut self, txn: &Transaction) -> Result<u64, Refusal> {
+        if self.store_is_down {
+            return Err(Refusal::Conflict);
+        }
         let narrow = std::mem::replace(&mut self.store.value_bytes, usize::MAX);
         let result = self.store.commit(txn);
         self.store.value_bytes = narrow;
         result
     }
 
+    /// Tasks of cancelled jobs that are on machines.
+    pub fn cancelled_on_machines(&self) -> usize {
+        let there = self.workers.iter().filter(|w| !w.gone);
+        let jobs = there
+            .flat_map(Worker::live)
+            .map(|task| &self.jobs[split(task).0]);
+        jobs.filter(|j| j.cancelled_at.is_some()).count()
+    }
+
+    /// The sessions of all workers: one that goes on shows that a lease has ended.
+    pub fn sessions(&self) -> Vec<u64> {
+        self.workers.iter().map(|w| w.session).collect()
+    }
+
     /// Every job has come to its end: done, or cancelled if somebody asked for that.
     pub fn check_ends(&self) {
         let open = self.store.under(OPEN);
