--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -110,6 +110,7 @@
 struct SmallFleet {
     core: Core,
     now: f64,
+    rented: Vec<Rent>,
     returned: Vec<String>,
 }
 
@@ -125,6 +126,7 @@
         let mut fleet = SmallFleet {
             core,
             now: 0.0,
+            rented: Vec::new(),
             returned: Vec::new(),
         };
         fleet.pass(1);
@@ -151,10 +153,11 @@
                 }
             }
             self.core.tick(now);
-            let returned = &mut self.returned;
+            let (rented, returned) = (&mut self.rented, &mut self.returned);
             carry_out(&mut self.core, now, |core, effect| match effect {
                 Effect::Rent(rent) => {
                     core.rented(&rent.request, Some(Vec::new()), now);
+                    rented.push(rent);
                 }
                 Effect::Return(names) => {
                     core.returned(&names, true, now);
@@ -173,3 +176,16 @@
     fleet.pass(200);
     assert_eq!(fleet.returned.len(), SMALL_MACHINES);
 }
+
+#[test]
+fn what_waits_for_other_machines_rents_none_for_a_job_that_those_at_hand_suffice_for() {
+    let mut fleet = SmallFleet::new();
+    fleet.submit(1, 500, 8.0, 300.0);
+    fleet.pass(3);
+    fleet.submit(2, 30, 1.0, 20.0);
+    fleet.pass(3);
+    let small = fleet.rented.iter().filter(|r| r.kind == "m4");
+    assert_eq!(small.count(), 0, "{:?}", fleet.rented);
+    let large = fleet.rented.iter().filter(|r| r.kind == "m16");
+    assert!(large.count() > 0, "the first job wants larger machines");
+}
