A pause after failures counts as waiting: it no longer adds to the yield of a reservation

Cause: a job pauses for up to 45 s after failures, and a reservation withholds a job from room for up to 54 s; the second count began only after the first, so that both could add up to 99 s of waiting beside room, where 90 are allowed. Found by reading.

Change: the count of the time in which a job is withheld begins with its pause and lasts through it.

--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -56,6 +56,8 @@
             let pause_s = report_s * f64::from(1 << job.setbacks.min(MOST_DOUBLINGS));
             let pause_s = pause_s.min(LONGEST_PAUSE_SHARE * WAITS_WITH_ROOM_S);
             job.retry_at = now + pause_s;
+            // A pause and a reservation behind it must not add up: it counts as waiting with room.
+            self.withheld.entry(id.clone()).or_insert(now);
             warn!("{id}: failed on {count} machines, waits {pause_s:.0} s");
         }
     }
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -220,9 +220,12 @@
         since.is_some_and(|t| now - t > WITHHELD_SHARE * WAITS_WITH_ROOM_S)
     }
 
-    /// Takes in which jobs a pass has withheld from room.
+    /// Takes in which jobs a pass has withheld from room. A job that pauses has no part in it: what
+    /// is known of it stays.
     fn note_withheld(&mut self, jobs: &BTreeSet<Name>, now: Time) {
-        self.withheld.retain(|id, _| jobs.contains(id));
+        let pauses = |id: &Name| self.jobs.get(id).is_some_and(|j| now < j.retry_at);
+        self.withheld
+            .retain(|id, _| jobs.contains(id) || pauses(id));
         for id in jobs {
             self.withheld.entry(id.clone()).or_insert(now);
         }
