--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -88,6 +88,19 @@
     }
 }
 
+#[test]
+fn requests_meet_the_end_of_a_job_without_any_other_trouble() {
+    let seen = Troubles {
+        ends: 15,
+        cancellations: 8,
+        ..Troubles::NONE
+    }
+    .play();
+    for kind in [Kind::Submit, Kind::Query, Kind::Cancel] {
+        assert!(seen.ends_met(kind) > OFTEN, "{seen:?}");
+    }
+}
+
 #[test]
 fn the_state_service_refuses_one_node_then_all_while_users_cancel_and_ask() {
     let seen = Troubles {
--- a/tests/requests/schedule.rs
+++ b/tests/requests/schedule.rs
@@ -6,6 +6,7 @@
 use crate::seen::Seen;
 use crate::world::{World, NODES};
 use proptest::prelude::*;
+use proptest::strategy::Union;
 use proptest::test_runner::{RngSeed, TestRunner};
 use stairstage::protocol::job::JobState;
 use std::cell::RefCell;
@@ -52,6 +53,8 @@
     pub close_looks: bool,
     /// Requests about jobs that are never accepted, and changes of the machine types.
     pub odd: u32,
+    /// Changes of leader that not all nodes learn of at once.
+    pub elections: u32,
 }
 
 impl Default for Troubles {
@@ -66,6 +69,7 @@
             cancellations: 4,
             close_looks: false,
             odd: 1,
+            elections: 1,
         }
     }
 }
@@ -75,6 +79,16 @@
     prop_oneof![4 => 0..2u8, 1 => 2..ENDING]
 }
 
+/// One of these, each as often as its share says; those without a share never.
+fn any_of<T: std::fmt::Debug>(options: Vec<(u32, BoxedStrategy<T>)>) -> Union<BoxedStrategy<T>> {
+    Union::new_weighted(
+        options
+            .into_iter()
+            .filter(|(share, _)| *share > 0)
+            .collect(),
+    )
+}
+
 /// None, one, or all, as bits.
 fn refused_nodes() -> impl Strategy<Value = u8> {
     let one = (0..NODES).prop_map(|node| 1 << node);
@@ -82,14 +96,28 @@
 }
 
 impl Troubles {
+    /// Users ask, cancel and submit again, and no job ends.
+    pub const NONE: Troubles = Troubles {
+        answer_lost: 0,
+        late: 0,
+        lost: 0,
+        refused: 0,
+        refusals: 0,
+        ends: 0,
+        cancellations: 1,
+        close_looks: false,
+        odd: 0,
+        elections: 0,
+    };
+
     fn fate(self) -> impl Strategy<Value = Fate> {
-        prop_oneof![
-            20 => Just(Fate::Answered),
-            self.answer_lost => Just(Fate::AnswerLost),
-            self.late => Just(Fate::Late),
-            self.lost => Just(Fate::Lost),
-            self.refused => Just(Fate::Refused),
-        ]
+        any_of(vec![
+            (20, Just(Fate::Answered).boxed()),
+            (self.answer_lost, Just(Fate::AnswerLost).boxed()),
+            (self.late, Just(Fate::Late).boxed()),
+            (self.lost, Just(Fate::Lost).boxed()),
+            (self.refused, Just(Fate::Refused).boxed()),
+        ])
     }
 
     fn ask(self) -> impl Strategy<Value = Step> {
@@ -98,24 +126,32 @@
             6 => Just(Kind::Query),
             self.cancellations => Just(Kind::Cancel),
         ];
-        let job = prop_oneof![10 => accepted_job(), self.odd => ENDING..JOBS];
+        let odd = (self.odd, (ENDING..JOBS).boxed());
+        let job = any_of(vec![(10, accepted_job().boxed()), odd]);
         (kind, job, 0..NODES).prop_map(|(kind, job, node)| Step::Ask(kind, job, node))
     }
 
     fn step(self) -> impl Strategy<Value = Step> {
-        prop_oneof![
-            10 => self.ask(),
-            30 => (any::<u8>(), self.fate()).prop_map(|(pick, fate)| Step::Advance(pick, fate)),
-            3 => (0..NODES).prop_map(Step::Confirm),
-            3 => any::<u8>().prop_map(Step::LateWrite),
-            4 => accepted_job().prop_map(Step::LeaderHears),
-            self.ends => (accepted_job(), self.fate()).prop_map(|(job, fate)| Step::LeaderEnds(job, fate)),
-            1 => Just(Step::Depose),
-            2 => (0..NODES).prop_map(Step::Elect),
-            1 => (0..NODES).prop_map(Step::Follow),
-            self.odd => (0..NODES, any::<bool>()).prop_map(|(node, small)| Step::Types(node, small)),
-            self.refusals => refused_nodes().prop_map(Step::Refuse),
-        ]
+        let nodes = || 0..NODES;
+        let advance = (any::<u8>(), self.fate()).prop_map(|(pick, fate)| Step::Advance(pick, fate));
+        let end = (accepted_job(), self.fate()).prop_map(|(job, fate)| Step::LeaderEnds(job, fate));
+        let types = (nodes(), any::<bool>()).prop_map(|(node, small)| Step::Types(node, small));
+        any_of(vec![
+            (10, self.ask().boxed()),
+            (30, advance.boxed()),
+            (3, nodes().prop_map(Step::Confirm).boxed()),
+            (3, any::<u8>().prop_map(Step::LateWrite).boxed()),
+            (4, accepted_job().prop_map(Step::LeaderHears).boxed()),
+            (self.ends, end.boxed()),
+            (self.elections, Just(Step::Depose).boxed()),
+            (2 * self.elections, nodes().prop_map(Step::Elect).boxed()),
+            (self.elections, nodes().prop_map(Step::Follow).boxed()),
+            (self.odd, types.boxed()),
+            (
+                self.refusals,
+                refused_nodes().prop_map(Step::Refuse).boxed(),
+            ),
+        ])
     }
 
     /// Plays many schedules, and tells what has come about in them.
