--- a/tests/play/main.rs
+++ b/tests/play/main.rs
@@ -8,6 +8,7 @@
 mod guests;
 mod leaders;
 mod limits;
+mod links;
 mod meetings;
 mod overload;
 mod reservations;
--- a/tests/play/simulation.rs
+++ b/tests/play/simulation.rs
@@ -77,6 +77,9 @@
     pub state: StateService,
     pub cloud: Cloud,
     pub leader: Option<Core>,
+    /// The share of answers to reports, and of answers to direct commands, that take longer than their
+    /// receivers wait.
+    pub slow_links: f64,
     /// Whether other controllers can promise a new leader to answer nothing in its place.
     pub peers_promise: bool,
     pub workers: BTreeMap<String, Worker>,
@@ -120,6 +123,7 @@
             state: StateService::default(),
             cloud,
             leader: None,
+            slow_links: 0.0,
             peers_promise: true,
             workers: BTreeMap::new(),
             rented: 0,
@@ -387,8 +391,9 @@
                 continue;
             };
             let heard = core.report(&worker.report(), now);
+            let in_time = !self.random.chance(self.slow_links);
             if let ReportOutcome::Answer(answer) = heard {
-                if worker.hears(now) && worker.take_answer(&answer, now) {
+                if in_time && worker.hears(now) && worker.take_answer(&answer, now) {
                     self.obey(&name, &answer.commands);
                 }
             }
@@ -578,6 +583,9 @@
             self.obey(name, &orders.commands);
         }
         let report = self.workers.get_mut(name).unwrap().report();
+        if self.random.chance(self.slow_links) {
+            return Ordered::Unknown;
+        }
         match accepted {
             true => Ordered::Executed(report),
             false => Ordered::Rejected(Some(report)),
