A worker's first report at a follower is passed on where leases are short

Cause: when a leader loses its workers alone, each waits four seconds for an answer and goes to the next node a second later. A follower that still knows that leader sent it straight back, for another five seconds: more than a lease of 10 s.

Ruled out: a slow hand-over. The leader asks its peers after two seconds, but they hear the workers only once those have given up, five seconds after the cut.

Change: where the lease doesn't outlast two nodes that give no answer, a follower brings the first report of a worker to the leader itself, and sends the worker there with its second. A leader that is not reached is not tried again for two seconds, so that nothing waits in the stage of requests. A worker counts as one that came back for at least ten seconds in place of six.

Deployments whose lease is longer are not touched.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -177,14 +177,14 @@
 /// Commands in one answer, which must not be longer than 64 KiB.
 pub(super) const MOST_COMMANDS: usize = 400;
 /// A worker gives up on an answer after this time and on a node after one second more.
-const WORKER_PATIENCE_S: f64 = 4.0;
+pub(super) const WORKER_PATIENCE_S: f64 = 4.0;
 pub(super) const WORKER_RETRY_S: f64 = 1.0;
 /// A gap in all workers' reports shows that this node is cut off when it is so many times as long
 /// as the mean time between two reports, but never when shorter than this share of an interval.
 const GAP_REPORTS: f64 = 8.0;
 const LEAST_GAP: f64 = 0.25;
 /// A worker reports after so many report intervals at the latest.
-const LONGEST_INTERVAL: f64 = 1.25;
+pub(super) const LONGEST_INTERVAL: f64 = 1.25;
 /// Steady clocks of different machines may differ by this much.
 pub(super) const DRIFT: f64 = 1.001;
 /// Seconds between passes while nothing is known to have changed, and between checks of leases.
--- a/src/coordination/redirects.rs
+++ b/src/coordination/redirects.rs
@@ -1,48 +1,76 @@
-//! Workers that a follower has sent to the leader, and that come back.
+//! Where a follower sends the reports of workers that come to it.
 
+use super::core::{LONGEST_INTERVAL, WORKER_PATIENCE_S, WORKER_RETRY_S};
 use super::Time;
+use crate::settings::Workers;
 use std::collections::HashMap;
 
 /// A worker that comes back so often has not got through to the leader.
-const PATIENCE: u32 = 3;
+const MOST_REDIRECTS: u32 = 3;
 /// Report intervals after which a worker that came back is a new one.
-const RECENT: f64 = 4.0;
+const RECENT_REPORTS: f64 = 4.0;
+/// What a worker loses at a node that does not answer.
+const LOST_AT_A_NODE_S: Time = WORKER_PATIENCE_S + WORKER_RETRY_S;
+
+/// How a follower treats a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// Its worker is told who leads.
+    Redirect,
+    /// The follower brings it to the leader, and the answer back.
+    PassOn,
+}
 
 #[derive(Default)]
-struct Sent {
-    times: u32,
+struct Visits {
+    count: u32,
     /// The session and number of its newest report.
     newest: (u64, u64),
     at: Time,
 }
 
-#[derive(Default)]
-pub struct Redirects(HashMap<String, Sent>);
+/// The workers that have come to a follower of late.
+pub struct Redirects {
+    visits: HashMap<String, Visits>,
+    /// After this time a worker that comes back is a new one.
+    recent_s: Time,
+    /// Whether the lease of a worker outlasts two nodes in a row that do not answer.
+    lease_outlasts_redirect: bool,
+}
 
 impl Redirects {
-    /// Whether a report is to be passed on to the leader, as its worker does not get through. A
-    /// late copy of a report is no worker that comes back.
-    pub fn comes_back(
-        &mut self,
-        machine: &str,
-        report: (u64, u64),
-        now: Time,
-        report_s: f64,
-    ) -> bool {
-        let sent = self.0.entry(machine.to_string()).or_default();
-        if now - sent.at > RECENT * report_s {
-            sent.times = 0;
+    pub fn new(workers: &Workers) -> Redirects {
+        let lost_s = 2.0 * LOST_AT_A_NODE_S + LONGEST_INTERVAL * workers.report_s;
+        Redirects {
+            visits: HashMap::new(),
+            recent_s: (RECENT_REPORTS * workers.report_s).max(2.0 * LOST_AT_A_NODE_S),
+            lease_outlasts_redirect: workers.lease_s > lost_s,
+        }
+    }
+
+    /// What to do with a report. A worker may have come because it does not reach the leader: one
+    /// that comes back again and again surely has, and one whose lease would not outlast another
+    /// try has its first report passed on. A late copy of a report is no visit.
+    pub fn route(&mut self, machine: &str, report: (u64, u64), now: Time) -> Route {
+        let visits = self.visits.entry(machine.to_string()).or_default();
+        if now - visits.at > self.recent_s {
+            visits.count = 0;
+        }
+        if visits.count == 0 || report > visits.newest {
+            visits.count += 1;
+            visits.newest = visits.newest.max(report);
         }
-        if sent.times == 0 || report > sent.newest {
-            sent.times += 1;
-            sent.newest = sent.newest.max(report);
+        visits.at = now;
+        let first = visits.count == 1 && !self.lease_outlasts_redirect;
+        match first || visits.count >= MOST_REDIRECTS {
+            true => Route::PassOn,
+            false => Route::Redirect,
         }
-        sent.at = now;
-        sent.times >= PATIENCE
     }
 
-    pub fn forget_old(&mut self, now: Time, report_s: f64) {
-        self.0
-            .retain(|_, sent| now - sent.at < 2.0 * RECENT * report_s);
+    pub fn forget_old(&mut self, now: Time) {
+        let recent_s = self.recent_s;
+        self.visits
+            .retain(|_, visits| now - visits.at < 2.0 * recent_s);
     }
 }
--- a/src/service/controller/mod.rs
+++ b/src/service/controller/mod.rs
@@ -123,7 +123,7 @@
             leader: None,
             ends: EndIndex::new((bytes / END_BYTES) as usize),
             types: Vec::new(),
-            redirects: Redirects::default(),
+            redirects: Redirects::new(&settings.cluster.workers),
             ticked: 0.0,
             listed: 0.0,
             heard: 0.0,
@@ -173,8 +173,7 @@
         let tick = now - self.ticked >= 1.0;
         if tick {
             self.ticked = now;
-            let report_s = self.settings.cluster.workers.report_s;
-            self.redirects.forget_old(now, report_s);
+            self.redirects.forget_old(now);
         }
         self.take_own_cancellations();
         self.ask_peers_for_cancellations(now);
--- a/src/service/controller/reports.rs
+++ b/src/service/controller/reports.rs
@@ -3,6 +3,7 @@
 use super::{Controller, Role};
 use crate::coordination::cancellations::{CancellationEvidence, PeerAnswer};
 use crate::coordination::core::ReportOutcome;
+use crate::coordination::redirects::Route;
 use crate::coordination::Time;
 use crate::protocol::job::JobState;
 use crate::protocol::worker::{Elsewhere, Report};
@@ -45,7 +46,7 @@
         respond(reply);
     }
 
-    /// Sends a worker to the leader, or passes its report on if it has come back from there.
+    /// Sends a worker to the leader, or passes its report on if it may not get through to there.
     fn redirect(&mut self, report: Report, body: Vec<u8>, passed_on: bool, respond: Respond) {
         let now = self.now();
         if !passed_on {
@@ -55,20 +56,16 @@
         let Some(leader) = leader.filter(|_| !passed_on) else {
             return respond(Reply::json(421, &Elsewhere { leader: None }));
         };
-        let report_s = self.settings.cluster.workers.report_s;
         let order = (report.session, report.seq);
-        if !self
-            .redirects
-            .comes_back(&report.machine, order, now, report_s)
-        {
-            return respond(Reply::json(
-                421,
-                &Elsewhere {
-                    leader: Some(leader),
-                },
-            ));
+        match self.redirects.route(&report.machine, order, now) {
+            Route::Redirect => {
+                let leader = Some(leader);
+                respond(Reply::json(421, &Elsewhere { leader }));
+            }
+            Route::PassOn => {
+                gateway::offer(&self.links.stage, Task::pass_on(leader, body, respond));
+            }
         }
-        gateway::offer(&self.links.stage, Task::pass_on(leader, body, respond));
     }
 
     /// Takes in the cancellations that this process has confirmed meanwhile. While the records are
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -120,16 +120,25 @@
         for task in &self.tasks {
             match task.work {
                 Work::Call { call, from_peer } => self.answer(&call, from_peer, task.respond),
-                Work::PassOn { leader, body } => {
-                    let reply = self.peers.report(&leader, body, 2 * LEADER_PATIENCE);
-                    (task.respond)(
-                        reply.unwrap_or_else(|| Reply::later("the leader is not reached")),
-                    );
-                }
+                Work::PassOn { leader, body } => (task.respond)(self.pass_on(&leader, body)),
             }
         }
     }
 
+    /// Brings a worker's report to the leader. While that cannot be reached, its worker had better
+    /// try another node.
+    fn pass_on(&self, leader: &str, body: Vec<u8>) -> Reply {
+        let not_reached = || Reply::later("the leader is not reached");
+        if self.is_avoided(leader) {
+            return not_reached();
+        }
+        let reply = self.peers.report(leader, body, 2 * LEADER_PATIENCE);
+        reply.unwrap_or_else(|| {
+            self.avoid(leader);
+            not_reached()
+        })
+    }
+
     fn answer(&self, call: &Call, from_peer: bool, respond: Respond) {
         let begun = Instant::now();
         let reply = match self.decide(call, from_peer) {
@@ -226,10 +235,7 @@
         }
         let Some(reply) = self.peers.ask(peer, asked, LEADER_PATIENCE) else {
             debug!("{peer}: no answer to a request about {}", asked.job);
-            let until = Instant::now() + AVOID;
-            self.unreachable
-                .borrow_mut()
-                .insert(peer.to_string(), until);
+            self.avoid(peer);
             return None;
         };
         Some(PeerAnswer {
@@ -239,6 +245,13 @@
         })
     }
 
+    fn avoid(&self, peer: &str) {
+        let until = Instant::now() + AVOID;
+        self.unreachable
+            .borrow_mut()
+            .insert(peer.to_string(), until);
+    }
+
     fn is_avoided(&self, peer: &str) -> bool {
         let unreachable = self.unreachable.borrow();
         let until = unreachable.get(peer);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -5,11 +5,12 @@
 use common::*;
 use stairstage::bookkeeping::records::OpenRecord;
 use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome, Written};
-use stairstage::coordination::redirects::Redirects;
+use stairstage::coordination::redirects::{Redirects, Route};
 use stairstage::protocol::cloud::{ListedMachine, MachineState};
 use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::Change;
 use stairstage::protocol::worker::*;
+use stairstage::settings::Workers;
 use std::collections::BTreeMap;
 
 /// Carries effects out; direct commands get no answer. Returns the tasks that were launched so, and
@@ -206,18 +207,44 @@
     assert!(launched(&mut core, 2.0).is_empty(), "they may run on m-1");
 }
 
+/// How workers report, with such a lease.
+fn workers_with_lease(lease_s: f64) -> Workers {
+    Workers {
+        report_s: 2.0,
+        lease_s,
+        gang_wait_s: 20.0,
+        gang_peer_s: 4.0,
+        cancel_s: 60.0,
+    }
+}
+
 #[test]
 fn a_copy_of_a_report_is_no_worker_that_comes_back() {
-    let mut redirects = Redirects::default();
-    assert!(!redirects.comes_back("m-1", (1, 5), 0.0, 2.0));
+    let mut redirects = Redirects::new(&workers_with_lease(30.0));
+    let mut route = |seq, now| redirects.route("m-1", (1, seq), now);
+    assert_eq!(route(5, 0.0), Route::Redirect);
     for _ in 0..5 {
-        assert!(!redirects.comes_back("m-1", (1, 5), 1.0, 2.0));
-        assert!(!redirects.comes_back("m-1", (1, 3), 1.0, 2.0));
+        assert_eq!(route(5, 1.0), Route::Redirect);
+        assert_eq!(route(3, 1.0), Route::Redirect);
     }
-    assert!(!redirects.comes_back("m-1", (1, 6), 2.0, 2.0));
-    assert!(redirects.comes_back("m-1", (1, 7), 3.0, 2.0));
+    assert_eq!(route(6, 2.0), Route::Redirect);
+    assert_eq!(route(7, 3.0), Route::PassOn);
     // Much later it is a worker like any other.
-    assert!(!redirects.comes_back("m-1", (1, 8), 20.0, 2.0));
+    assert_eq!(route(8, 20.0), Route::Redirect);
+}
+
+/// It may have come because it does not reach the leader, and has lost half of its lease there.
+#[test]
+fn the_first_report_of_a_worker_with_a_short_lease_is_passed_on() {
+    let mut redirects = Redirects::new(&workers_with_lease(10.0));
+    let mut route = |seq, now| redirects.route("m-1", (1, seq), now);
+    assert_eq!(route(5, 0.0), Route::PassOn);
+    assert_eq!(route(6, 2.0), Route::Redirect);
+    // Neither the leader nor a new try within its patience: it comes back, and does not get through.
+    assert_eq!(route(7, 8.0), Route::PassOn);
+    assert_eq!(route(8, 10.0), Route::PassOn);
+    assert_eq!(route(9, 40.0), Route::PassOn);
+    assert_eq!(route(10, 42.0), Route::Redirect);
 }
 
 #[test]
