A batch that lost all its places and finds no room for two minutes gets a machine

Cause: a job that had begun, lost its machines and found the fleet full of long tasks had nothing rented for it: machines of their own were for jobs that never began, and the work of all was less than the fleet can do in its time.

Change: such a job gets a machine for one task (all of a gang); it goes before nobody.

--- a/src/coordination/demand/mod.rs
+++ b/src/coordination/demand/mod.rs
@@ -138,7 +138,8 @@
     /// may suffice to end them in time, and yet not to begin them, or to begin them again.
     fn overdue_batches(&self, now: Time) -> impl Iterator<Item = &Job> {
         let batches = self.jobs.values().filter(|j| !j.is_service());
-        batches.filter(move |j| j.may_begin() && now >= j.retry_at && j.is_overdue(now))
+        let waiting = batches.filter(move |j| j.may_begin() && now >= j.retry_at);
+        waiting.filter(move |j| j.is_overdue(now) || j.lacks_machines(now))
     }
 
     /// As many of a job's tasks as its team's limit lets run.
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -187,6 +187,7 @@
         };
         let at = slot.at.swap_remove(i);
         job.live -= 1;
+        job.left_at = Some(now);
         job.running -= u32::from(ran);
         job.first_open = job.first_open.min(*task as usize);
         if let Some(usage) = self.team_use.get_mut(&job.spec.team) {
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -52,6 +52,8 @@
     /// No task before this one can be placed.
     pub first_open: usize,
     pub first_run: Option<Time>,
+    /// When its last place was cleared, if it has had any.
+    pub left_at: Option<Time>,
 }
 
 impl Job {
@@ -87,6 +89,7 @@
             setbacks: 0,
             first_open: 0,
             first_run: None,
+            left_at: None,
             spec,
         }
     }
@@ -111,6 +114,13 @@
         waits && now - self.ready > BEGINS_WITHIN_S * OVERDUE_SHARE
     }
 
+    /// Whether nothing of it has been on any machine for as long. It gets machines of its own then, but
+    /// goes before no others: under overload most jobs would.
+    pub fn lacks_machines(&self, now: Time) -> bool {
+        let since = self.left_at.unwrap_or(self.ready).max(self.ready);
+        self.live == 0 && self.unplaced_count() > 0 && now - since > BEGINS_WITHIN_S * OVERDUE_SHARE
+    }
+
     /// The processor seconds that are left, by its prediction; what runs is half done on average.
     pub fn work_left(&self) -> f64 {
         let tasks = f64::from(self.unplaced_count()) + f64::from(self.live) / 2.0;
--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -6,8 +6,9 @@
 use common::*;
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::OpenRecord;
-use stairstage::coordination::core::{Core, Effect};
+use stairstage::coordination::core::{Core, Effect, ReportOutcome};
 use stairstage::protocol::cloud::{MachineType, Rent};
+use stairstage::protocol::worker::{Command, TaskReport, TaskState};
 
 /// Seconds after which a job that has not begun is overdue, and a little more.
 const OVERDUE_S: i32 = 140;
@@ -189,3 +190,49 @@
     let large = fleet.rented.iter().filter(|r| r.kind == "m16");
     assert!(large.count() > 0, "the first job wants larger machines");
 }
+
+/// What a report in the second session of the only machine's worker is answered.
+fn answer_in_second_session(
+    core: &mut Core,
+    seq: u64,
+    tasks: Vec<TaskReport>,
+    now: f64,
+) -> Vec<Command> {
+    let mut report = worker_report("m-1", seq, 1, tasks);
+    report.session = 2;
+    match core.report(&report, now) {
+        ReportOutcome::Answer(answer) => answer.commands,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_job_that_lost_its_machine_to_long_tasks_gets_another_one() {
+    let mut core = one_machine();
+    let mut job = submission("req-1", "sweep", "normal", 1);
+    job["cpus"] = json!(4.0);
+    core.job_opened(OpenRecord::accepted(parsed(&job), 0), 1, 0, 0.0);
+    let first = launched(&mut core, 0.5);
+    assert_eq!(first.len(), 1);
+    report(&mut core, 2, shown(&first, TaskState::Running, None), 1.0);
+    // Its machine loses its lease, and longer tasks of a higher priority take the room.
+    let mut long = submission("req-2", "sweep", "urgent", 4);
+    long["passage_s"] = json!(5000.0);
+    core.job_opened(OpenRecord::accepted(parsed(&long), 0), 2, 0, 16.0);
+    answer_in_second_session(&mut core, 3, Vec::new(), 16.5);
+    carry_out(&mut core, 17.0, |_, _| {});
+    let others = starts(&answer_in_second_session(&mut core, 4, Vec::new(), 17.5));
+    assert!(others.iter().all(|(task, _)| task.starts_with("req-2/")));
+    assert_eq!(others.len(), 4);
+    let mut rented = 0;
+    for second in 18..18 + OVERDUE_S {
+        let now = f64::from(second);
+        let tasks = shown(&others, TaskState::Running, None);
+        answer_in_second_session(&mut core, second as u64, tasks, now);
+        core.tick(now);
+        carry_out(&mut core, now, |_, effect| {
+            rented += usize::from(matches!(effect, Effect::Rent(_)));
+        });
+    }
+    assert_eq!(rented, 1);
+}
