Machines that are checked in small functions, places entered as one value, names; no behaviour changes

Need: check_machines was one function of a hundred lines that asked twice whether a machine had left a command unanswered; two functions shared a list of five arguments; a peer was asked for its cancellations in the same lines twice; names of the earlier house style (fall, doubt, heeded) are left.

Change: one function for each decision, NewPlace, ask_for_cancellations, mass_failure_since and the like.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -159,8 +159,8 @@
     /// The ends of the last gap that may be, and of the last that is, a fault of our own network.
     pub(super) gap_ended: Time,
     pub(super) hears_since: Time,
-    /// Since when many machines have left commands unanswered: others may have fallen with them.
-    pub(super) fall: Option<Time>,
+    /// Since when many machines have left commands unanswered: others may have failed with them.
+    pub(super) mass_failure_since: Option<Time>,
     pub(super) cut: Cut,
     /// What a record and a transaction may hold.
     pub(super) record_bytes: usize,
@@ -240,7 +240,7 @@
             last_heard: now,
             gap_ended: now,
             hears_since: now,
-            fall: None,
+            mass_failure_since: None,
             cut: Cut::within(c.state.record_bytes()),
             record_bytes: c.state.record_bytes(),
             most_changes: c.state.changes(),
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -24,9 +24,10 @@
 /// those costs less than hearing of the others later.
 const LATE_REPORTS: f64 = 1.15;
 const SUSPECT_REPORTS: f64 = 1.3;
-/// The share of the fleet that leaves commands without an answer when machines fall together.
-const FALL_SHARE: f64 = 0.02;
-const FALL_LEAST: usize = 2;
+/// Machines that leave commands unanswered when many fail together: more than this share of the fleet,
+/// and than so many.
+const MASS_FAILURE_SHARE: f64 = 0.02;
+const MASS_FAILURE_LEAST: usize = 2;
 
 impl Core {
     pub(super) fn succeeded_on(&mut self, name: &Name, image: &str, now: Time) {
@@ -128,83 +129,113 @@
 
     /// Looks after machines that are silent, failed or never came up.
     pub(super) fn check_machines(&mut self, now: Time) {
-        let silence_s = self.silence_s();
-        let suspect_s = self.settings.cluster.workers.report_s * SUSPECT_REPORTS;
-        // While nobody is heard, the silence of a machine says nothing about it.
-        let since = self.leads_since.max(self.hears_since);
         let cut_off = now - self.last_heard > self.silence_of_all_s();
+        self.note_mass_failure(now);
+        self.return_silent(cut_off, now);
+        self.return_unusable(now);
+        self.send_returns();
+        self.probe_machines(now);
+    }
+
+    /// For how long a machine has been silent. While nobody is heard, the silence of one says nothing
+    /// about it.
+    fn silent_s(&self, m: &Machine, now: Time) -> f64 {
         let lease_s = self.settings.cluster.workers.lease_s * DRIFT;
-        // One on which answers have no effect is as good as silent, though it is heard. So is one that answers
-        // commands but sends no reports, once that has cost it its lease.
-        let quiet_s = |m: &Machine| {
-            let last = m.heard.unwrap_or(m.rented);
-            let mute = now - m.answered > lease_s;
-            let last = if mute { last.min(m.answered) } else { last };
-            let last = m.unresponsive_since.map_or(last, |t| t.min(last));
-            now - last.max(since)
+        let since = self.leads_since.max(self.hears_since);
+        let last = m.heard.unwrap_or(m.rented);
+        // One that answers commands but sends no reports is as good as silent, once that has cost it its
+        // lease. So is one on which answers have no effect, though it is heard.
+        let sends_no_reports = now - m.answered > lease_s;
+        let last = if sends_no_reports {
+            last.min(m.answered)
+        } else {
+            last
         };
-        let (mut up, mut mute, mut mute_since) = (0, 0, now);
-        let mut silent: Vec<(Name, f64)> = Vec::new();
+        let last = m.unresponsive_since.map_or(last, |t| t.min(last));
+        now - last.max(since)
+    }
+
+    /// Since when a machine has left a command unanswered, if not for a fault of our own network.
+    fn unanswered_since(&self, m: &Machine) -> Option<Time> {
+        m.unanswered.filter(|t| *t > self.gap_ended)
+    }
+
+    /// Notes how many machines are up, and since when many of them have left commands unanswered.
+    fn note_mass_failure(&mut self, now: Time) {
+        let (mut up, mut unanswered, mut first) = (0, 0, now);
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             up += 1;
-            if let Some(since) = m.unanswered.filter(|t| *t > self.gap_ended) {
-                mute += 1;
-                mute_since = mute_since.min(since);
-            }
-            // A report is missing, and a command got no answer: it hangs, or is cut off.
-            let suspect =
-                m.unanswered.is_some_and(|t| t > self.gap_ended) && quiet_s(m) > suspect_s;
-            if quiet_s(m) > silence_s || suspect {
-                silent.push((m.name.clone(), quiet_s(m)));
+            if let Some(since) = self.unanswered_since(m) {
+                unanswered += 1;
+                first = first.min(since);
             }
         }
-        // Many at once: it is rather our own network that is cut. But not for ever: what has not
-        // been answered for a lease has lost its tasks anyway, and a picture that holds nothing but
-        // machines that are gone must come to an end.
-        let many = cut_off || silent.len() * 2 > up.max(2);
-        let lost_s = lease_s + silence_s;
         self.up = up;
-        let falls = mute > FALL_LEAST.max((FALL_SHARE * up as f64) as usize);
-        self.fall = falls.then(|| self.fall.unwrap_or(mute_since));
+        let many = MASS_FAILURE_LEAST.max((MASS_FAILURE_SHARE * up as f64) as usize);
+        let since = self.mass_failure_since.unwrap_or(first);
+        self.mass_failure_since = (unanswered > many).then_some(since);
+    }
+
+    /// Machines that count as silent, and for how long they have been.
+    fn silent_machines(&self, now: Time) -> Vec<(Name, f64)> {
+        let silence_s = self.silence_s();
+        let suspect_s = self.settings.cluster.workers.report_s * SUSPECT_REPORTS;
+        let up = self.machines.values().filter(|m| m.phase == Phase::Up);
+        let silent = up.filter_map(|m| {
+            let silent_s = self.silent_s(m, now);
+            // A report is missing, and a command got no answer: it hangs, or is cut off.
+            let suspect = self.unanswered_since(m).is_some() && silent_s > suspect_s;
+            (silent_s > silence_s || suspect).then(|| (m.name.clone(), silent_s))
+        });
+        silent.collect()
+    }
+
+    /// Gives back machines that are silent. Many at once: it is rather our own network that is cut. But
+    /// not for ever: what has not been answered for a lease has lost its tasks anyway, and a picture
+    /// that holds nothing but machines that are gone must come to an end.
+    fn return_silent(&mut self, cut_off: bool, now: Time) {
+        let silent = self.silent_machines(now);
+        let many = cut_off || silent.len() * 2 > self.up.max(2);
+        let lost_s = self.settings.cluster.workers.lease_s * DRIFT + self.silence_s();
         if many && !silent.is_empty() {
-            warn!("{} of {up} machines are silent", silent.len());
+            warn!("{} of {} machines are silent", silent.len(), self.up);
         }
-        for (name, quiet_s) in silent {
-            if !many || quiet_s > lost_s {
-                warn!("{name}: silent for {quiet_s:.0} s, is returned");
+        for (name, silent_s) in silent {
+            if !many || silent_s > lost_s {
+                warn!("{name}: silent for {silent_s:.0} s, is returned");
                 self.give_back(&name);
             }
         }
+    }
+
+    /// Gives back machines that failed, never came up, are faulty or were to be emptied.
+    fn return_unusable(&mut self, now: Time) {
         let patience = self.settings.policy.boot_patience;
-        let failed: Vec<(Name, &str)> = self
-            .machines
-            .values()
-            .filter(|m| m.phase != Phase::Returning)
-            .filter_map(|m| {
-                let boot_s = self.type_of(&m.kind).map(|t| t.boot_s)?;
-                if m.listed_failed {
-                    Some((m.name.clone(), "has failed"))
-                } else if m.phase == Phase::Booting && now - m.rented > patience * boot_s {
-                    Some((m.name.clone(), "has not come up"))
-                } else if m.quarantined && m.is_empty() {
-                    Some((m.name.clone(), "is faulty"))
-                } else if m.draining && m.is_empty() {
-                    Some((m.name.clone(), "is emptied"))
-                } else {
-                    None
-                }
-            })
-            .collect();
-        for (name, why) in failed {
+        let kept = self.machines.values();
+        let kept = kept.filter(|m| m.phase != Phase::Returning);
+        let unusable = kept.filter_map(|m| {
+            let boot_s = self.type_of(&m.kind)?.boot_s;
+            let why = if m.listed_failed {
+                "has failed"
+            } else if m.phase == Phase::Booting && now - m.rented > patience * boot_s {
+                "has not come up"
+            } else if m.quarantined && m.is_empty() {
+                "is faulty"
+            } else if m.draining && m.is_empty() {
+                "is emptied"
+            } else {
+                return None;
+            };
+            Some((m.name.clone(), why))
+        });
+        for (name, why) in unusable.collect::<Vec<_>>() {
             info!("{name}: {why}, is returned");
             self.give_back(&name);
         }
-        self.send_returns();
-        self.probe_machines(now);
     }
 
-    /// Speaks to machines that have not been heard, whose report is missing, or that heed no
-    /// answer: a reply shows that the way there is open, and that no older command reaches them
+    /// Speaks to machines that have not been heard, whose report is missing, or that acknowledge
+    /// no answer: a reply shows that the way there is open, and that no older command reaches them
     /// any more.
     fn probe_machines(&mut self, now: Time) {
         let late_s = self.settings.cluster.workers.report_s * LATE_REPORTS;
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -93,7 +93,7 @@
     /// that it needs: nobody may call it pending for long after that one was cancelled.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
         let job = self.jobs.get(id)?;
-        if !job.cancelled && (job.doomed || self.is_in_doubt(job)) {
+        if !job.cancelled && (job.doomed || self.needs_unknown_job(job)) {
             return None;
         }
         let running = job.running;
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -27,7 +27,7 @@
             return Vec::new();
         };
         let (token, session_token) = (self.token, m.token);
-        // A leader in doubt keeps tasks alive, but starts nothing.
+        // A leader whose lease may be over keeps tasks alive, but starts nothing.
         let starts = now < self.valid_until;
         let cut = self.cut;
         let mut commands = Vec::new();
@@ -82,7 +82,7 @@
     }
 
     /// Sends straight to workers what should not wait for their next report. A leader whose lease
-    /// is in doubt still stops tasks by this, but starts none.
+    /// may be over still stops tasks by this, but starts none.
     pub(super) fn send_orders(&mut self, now: Time) {
         if self.deposed {
             return;
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -37,7 +37,7 @@
     }
 
     /// Whether it is not known what has become of a job that this one needs.
-    pub(super) fn is_in_doubt(&self, job: &Job) -> bool {
+    pub(super) fn needs_unknown_job(&self, job: &Job) -> bool {
         job.needs
             .iter()
             .any(|id| self.pipelines.unknown.contains(id))
--- a/src/coordination/placement/mod.rs
+++ b/src/coordination/placement/mod.rs
@@ -157,11 +157,11 @@
         failure_penalty_s(job, m) + self.fetch_s(job, m)
     }
 
-    /// While machines fall together, one that has not been heard since may have fallen with them:
+    /// While many machines fail together, one that has not been heard since may have failed with them:
     /// seconds until its report would tell.
-    fn doubt_s(&self, m: &Machine) -> f64 {
+    fn unheard_penalty_s(&self, m: &Machine) -> f64 {
         let report_s = self.core.settings.cluster.workers.report_s;
-        match (self.core.fall, m.heard) {
+        match (self.core.mass_failure_since, m.heard) {
             (Some(since), Some(heard)) if heard < since => report_s,
             _ => 0.0,
         }
--- a/src/coordination/placement/services.rs
+++ b/src/coordination/placement/services.rs
@@ -26,7 +26,8 @@
             }
             // Among equals the fullest: others can then empty and be returned.
             let packing = 0.1 * self.free_share(*i) + self.apart_s(*i);
-            let delay_s = self.delay_s(job, self.machines[*i]) + self.doubt_s(self.machines[*i]);
+            let delay_s =
+                self.delay_s(job, self.machines[*i]) + self.unheard_penalty_s(self.machines[*i]);
             let cost = delay_s + packing;
             if best.as_ref().is_none_or(|b| cost < b.0) {
                 best = Some((cost, *i, Vec::new()));
@@ -35,7 +36,7 @@
         for i in candidates {
             // Stopping work costs at least this much: most machines need not be looked into.
             let m = self.machines[i];
-            let delay_s = self.delay_s(job, m) + self.doubt_s(m) + self.apart_s(i);
+            let delay_s = self.delay_s(job, m) + self.unheard_penalty_s(m) + self.apart_s(i);
             let least = delay_s + PREEMPTION_PENALTY_S;
             if best.as_ref().is_some_and(|b| b.0 <= least) || self.rooms[i].fits(&need) {
                 continue;
--- a/src/coordination/places.rs
+++ b/src/coordination/places.rs
@@ -13,35 +13,41 @@
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::{debug, warn};
 
+/// A task that is put on a machine.
+struct NewPlace<'a> {
+    key: PlaceKey,
+    machine: &'a Name,
+    stage: Stage,
+}
+
 impl Core {
     /// Puts a task on a machine. The launch leaves once the record is written.
     pub(super) fn add_place(&mut self, key: PlaceKey, machine: &Name, stage: Stage, now: Time) {
         let placement_record = self.choose_placement_record(&key, machine);
-        self.add_place_in(placement_record, key, machine, stage, now);
+        let place = NewPlace {
+            key,
+            machine,
+            stage,
+        };
+        self.add_place_in(placement_record, place, now);
     }
 
     /// The same, where it is known which record tells of the place.
-    fn add_place_in(
-        &mut self,
-        placement_record: usize,
-        key: PlaceKey,
-        machine: &Name,
-        stage: Stage,
-        now: Time,
-    ) {
-        let (id, task, attempt) = &key;
-        let (Some(job), Some(m)) = (self.jobs.get_mut(id), self.machines.get_mut(machine)) else {
+    fn add_place_in(&mut self, placement_record: usize, new: NewPlace, now: Time) {
+        let (id, task, attempt) = &new.key;
+        let m = self.machines.get_mut(new.machine);
+        let (Some(job), Some(m)) = (self.jobs.get_mut(id), m) else {
             return;
         };
         let load = job.load();
         let Some(slot) = job.tasks.get_mut(*task as usize) else {
             return;
         };
-        if m.places.contains_key(&key) {
+        if m.places.contains_key(&new.key) {
             return;
         }
         let place = Place {
-            stage,
+            stage: new.stage,
             since: now,
             running_since: None,
             recovered: false,
@@ -51,10 +57,10 @@
             missing: false,
             load,
         };
-        m.places.insert(key.clone(), place);
+        m.places.insert(new.key.clone(), place);
         m.places_changed();
         slot.at.push(TaskLocation {
-            machine: machine.clone(),
+            machine: new.machine.clone(),
             attempt: *attempt,
             placement_record,
         });
@@ -62,24 +68,17 @@
         let usage = self.team_use.entry(job.spec.team.clone()).or_default();
         usage.0 += load.need.cpus;
         usage.1 += load.need.gpus;
-        self.enter(placement_record, key, machine, stage, now);
+        self.enter(placement_record, new, now);
     }
 
     /// Enters a new place into a record.
-    fn enter(
-        &mut self,
-        placement_record: usize,
-        key: PlaceKey,
-        machine: &Name,
-        stage: Stage,
-        now: Time,
-    ) {
-        let priority = self.jobs.get(&key.0).map(|j| j.priority);
+    fn enter(&mut self, placement_record: usize, new: NewPlace, now: Time) {
+        let priority = self.jobs.get(&new.key.0).map(|j| j.priority);
         let entry = &mut self.placement_records[placement_record];
-        entry.insert(key.clone(), machine.clone());
-        match (stage, priority) {
+        entry.insert(new.key.clone(), new.machine.clone());
+        match (new.stage, priority) {
             (Stage::Planned, Some(priority)) => {
-                entry.plan((key, machine.clone()), priority, now);
+                entry.plan((new.key, new.machine.clone()), priority, now);
                 self.urgent.insert(placement_record);
             }
             _ => {
@@ -114,7 +113,12 @@
             }
             let place = self.machines.get(&machine).and_then(|m| m.places.get(&key));
             let stage = place.map_or(Stage::Started, |p| p.stage);
-            self.enter(to, key, &machine, stage, now);
+            let moved = NewPlace {
+                key,
+                machine: &machine,
+                stage,
+            };
+            self.enter(to, moved, now);
             self.placement_records[placement_record]
                 .shrinks_after
                 .insert(to);
@@ -391,7 +395,12 @@
             m.phase = Phase::Up;
             m
         });
-        self.add_place_in(placement_record, key.clone(), machine, Stage::Started, now);
+        let place = NewPlace {
+            key: key.clone(),
+            machine,
+            stage: Stage::Started,
+        };
+        self.add_place_in(placement_record, place, now);
         let m = self.machines.get_mut(machine);
         if let Some(p) = m.and_then(|m| m.places.get_mut(&key)) {
             p.recovered = true;
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -112,8 +112,8 @@
     }
 
     /// Takes in whether the worker has done what it was told last.
-    pub fn acknowledges(&mut self, heeded: bool, now: Time) {
-        if heeded {
+    pub fn acknowledges(&mut self, acknowledged: bool, now: Time) {
+        if acknowledged {
             self.unacknowledged = 0;
             self.unresponsive_since = None;
             return;
--- a/src/service/controller/leadership.rs
+++ b/src/service/controller/leadership.rs
@@ -160,7 +160,7 @@
 
     /// No worker is heard here. Where another controller hears them, it had better lead: what comes
     /// through it comes late, and no command reaches a worker directly. If no peer answers either,
-    /// another node may have the workers' ear all the same, and a node that is alone takes it back.
+    /// workers may reach another node all the same, and a node that is alone takes it back.
     pub(super) fn peers_probed(&mut self, reachability: PeerReachability) {
         self.probing = false;
         let now = self.now();
--- a/src/service/controller/reports.rs
+++ b/src/service/controller/reports.rs
@@ -98,11 +98,15 @@
         }
         self.peers_asked = now;
         for peer in self.links.peers.names() {
-            let queries = &self.links.cancellation_queries;
-            queries.ask(peer, self.evidence.cursor(peer));
+            self.ask_for_cancellations(peer);
         }
     }
 
+    fn ask_for_cancellations(&self, peer: &str) {
+        let cursor = self.evidence.cursor(peer);
+        self.links.cancellation_queries.ask(peer, cursor);
+    }
+
     pub(super) fn peer_cancellations(&mut self, peer: &str, answer: Option<PeerAnswer>) {
         let Some(answer) = answer else {
             return;
@@ -112,8 +116,7 @@
         }
         self.evidence.peer_answered(&answer);
         if self.core().is_some() && !answer.page.complete {
-            let queries = &self.links.cancellation_queries;
-            queries.ask(peer, self.evidence.cursor(peer));
+            self.ask_for_cancellations(peer);
         }
     }
 }
