--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn a_worker_that_heeds_no_answer_gets_no_more_work_and_is_returned() {
+fn a_worker_that_acknowledges_no_answer_gets_no_more_work_and_is_returned() {
     let mut core = core();
     submit(&mut core, "req-1", "standing", "critical", None, 1);
     answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
