Tests of four guards that no test missed; each fails without its guard

Need: nine guards could be taken out without a failing test.

Change: three small tests of requests and reports; the fourth guard is met by the test of a batch that lost its machine.

--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -24,6 +24,8 @@
 use stairstage::coordination::requests::{
     Answer, Context, Effect, Event, Located, PeerAnswer, Request, StoreAnswer, StoreCall,
 };
+use stairstage::protocol::job::JobState;
+use stairstage::protocol::store::Change;
 use stairstage::settings::Settings;
 use std::sync::Arc;
 
@@ -250,3 +252,53 @@
     );
     assert!(in_order, "{told:?}");
 }
+
+fn compared(outcome: Outcome) -> Event {
+    Event::Store(StoreAnswer::Committed(outcome))
+}
+
+/// The first submission that names another job, when the state service has neither an open job nor
+/// an end of that name at hand.
+fn submission_that_names_an_unknown_job() -> (Request, Vec<Effect>) {
+    let waiting = (0..jobs::JOBS).find(|job| jobs::needs(*job).is_some());
+    let body = jobs::body_of(waiting.expect("one that waits"));
+    let (mut request, _) = Request::submission(&body, context(false));
+    let effects = request.on(compared(Outcome::Applied(1)));
+    (request, effects)
+}
+
+#[test]
+fn a_name_that_cannot_be_read_is_no_name_that_was_never_accepted() {
+    let (mut request, reads) = submission_that_names_an_unknown_job();
+    assert!(reads_store(&reads), "{reads:?}");
+    let handed_on = request.on(unavailable());
+    assert!(asks(&handed_on, "n1"), "{handed_on:?}");
+    assert!(asks(&request.on(not_now()), "n2"));
+    assert_eq!(status_of(&request.on(Event::Peer(None))), Some(503));
+}
+
+#[test]
+fn a_job_that_names_a_cancelled_one_is_accepted_with_its_end() {
+    let waiting = (0..jobs::JOBS).find(|job| jobs::needs(*job).is_some());
+    let waiting = waiting.expect("one that waits");
+    let needed = jobs::id_of(jobs::needs(waiting).expect("it waits"));
+    let (mut request, _) = Request::submission(&jobs::body_of(waiting), context(false));
+    let end = stairstage::bookkeeping::records::end_key(&needed);
+    let reads = request.on(compared(Outcome::Conflict(vec![end.clone()])));
+    assert!(reads_store(&reads), "{reads:?}");
+    let mut store = common::Store::default();
+    let record = stairstage::bookkeeping::records::EndRecord::cancelled(0);
+    store.values.insert(end.clone(), (record.to_value(), 1));
+    let commits = request.on(Event::Store(StoreAnswer::Read(Ok(store.item(&end)))));
+    let [Effect::Store(StoreCall::Commit(transaction))] = &commits[..] else {
+        panic!("{commits:?}");
+    };
+    let own_end = stairstage::bookkeeping::records::end_key(&jobs::id_of(waiting));
+    let writes_end = matches!(&transaction.changes[..],
+        [Change::Put { key, .. }] if *key == own_end);
+    assert!(writes_end, "{transaction:?}");
+    let told = request.on(compared(Outcome::Applied(2)));
+    let cancelled = matches!(&told[..],
+        [.., Effect::Answer(Answer::Accepted { state, .. })] if *state == JobState::Cancelled);
+    assert!(cancelled, "{told:?}");
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -524,3 +524,17 @@
     assert!(on_second.is_empty(), "{on_second:?}");
     assert_eq!(returned, ["m-2"]);
 }
+
+#[test]
+fn a_task_that_no_open_job_accounts_for_is_stopped() {
+    let mut core = core();
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    let unknown = shown(&[("req-9/0".into(), 7)], TaskState::Running, None);
+    let answer = match core.report(&worker_report("m-1", 1, 1, unknown), 0.0) {
+        ReportOutcome::Answer(answer) => answer.commands,
+        other => panic!("{other:?}"),
+    };
+    let stops =
+        |c: &Command| matches!(c, Command::Stop { task, attempt: 7, .. } if task == "req-9/0");
+    assert!(answer.iter().any(stops), "{answer:?}");
+}
