--- a/tests/play/links.rs
+++ b/tests/play/links.rs
@@ -1,32 +1,16 @@
 //! Links between the leader and the workers on which answers take too long.
 
 use crate::rules::check_days;
-use crate::services::Cloud;
-use crate::simulation::{Simulation, UNLIMITED};
-use crate::workload::{mixed, Random};
+use crate::state_service::urgent_overload;
 
 /// When links are fast again.
 const SLOW_UNTIL_S: f64 = 150.0;
 
-/// More work than there is room for, some of it urgent.
-fn overload(seed: u64) -> Simulation {
-    let mut random = Random::new(seed);
-    let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
-    play.add_machines("z", 6);
-    let mut plans = mixed(&mut random, 24.0, 1.3, 120.0);
-    for plan in &mut plans {
-        let urgent = random.chance(0.3);
-        plan.priority = if urgent { "urgent" } else { "normal" };
-    }
-    play.plan(plans);
-    play
-}
-
 #[test]
 fn more_work_than_room_urgent_and_not_is_served_over_slow_links() {
     check_days(8, |seed| {
-        let mut play = overload(seed);
-        let slow_links = play.random.between(0.1, 0.5);
+        let (mut play, mut random) = urgent_overload(seed);
+        let slow_links = random.between(0.1, 0.5);
         play.calm_from = SLOW_UNTIL_S;
         play.run(360.0, |play| {
             let slow = play.now < SLOW_UNTIL_S;
@@ -39,8 +23,8 @@
 #[test]
 fn leaders_change_while_more_work_than_room_waits_over_slow_links() {
     check_days(8, |seed| {
-        let mut play = overload(seed);
-        let slow_links = play.random.between(0.1, 0.5);
+        let (mut play, mut random) = urgent_overload(seed);
+        let slow_links = random.between(0.1, 0.5);
         play.calm_from = SLOW_UNTIL_S;
         play.run(360.0, |play| {
             let now = play.now as u32;
--- a/tests/play/state_service.rs
+++ b/tests/play/state_service.rs
@@ -5,18 +5,24 @@
 use crate::simulation::{Simulation, UNLIMITED};
 use crate::workload::{mixed, stream, JobPlan, Random};
 
+/// More work than there is room for, some of it urgent; and the numbers that it was generated from.
+pub fn urgent_overload(seed: u64) -> (Simulation, Random) {
+    let mut random = Random::new(seed);
+    let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
+    play.add_machines("z", 6);
+    let mut plans = mixed(&mut random, 24.0, 1.3, 120.0);
+    for plan in &mut plans {
+        let urgent = random.chance(0.3);
+        plan.priority = if urgent { "urgent" } else { "normal" };
+    }
+    play.plan(plans);
+    (play, random)
+}
+
 #[test]
 fn urgent_and_other_work_is_served_after_writes_lagged_and_failed() {
     check_days(8, |seed| {
-        let mut random = Random::new(seed);
-        let mut play = Simulation::new(seed, &UNLIMITED, &["z"], Cloud::full());
-        play.add_machines("z", 6);
-        let mut plans = mixed(&mut random, 24.0, 1.3, 120.0);
-        for plan in &mut plans {
-            let urgent = random.chance(0.3);
-            plan.priority = if urgent { "urgent" } else { "normal" };
-        }
-        play.plan(plans);
+        let (mut play, mut random) = urgent_overload(seed);
         play.state.delay_s = random.between(0.0, 4.0).floor();
         (play.state.late, play.state.unanswered) = (0.15, 0.15);
         play.calm_from = 100.0;
