--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -20,6 +20,7 @@
 
 use rules::{Kind, Told};
 use schedule::Troubles;
+use stairstage::bookkeeping::records::{end_key, EndRecord};
 use stairstage::bookkeeping::store::{Outcome, Unavailable};
 use stairstage::coordination::requests::{
     Answer, Context, Effect, Event, Located, PeerAnswer, Request, StoreAnswer, StoreCall,
@@ -148,14 +149,27 @@
     }
 }
 
+fn committed(outcome: Outcome) -> Event {
+    Event::Store(StoreAnswer::Committed(outcome))
+}
+
 fn unanswered() -> Event {
-    Event::Store(StoreAnswer::Committed(Outcome::Unknown))
+    committed(Outcome::Unknown)
 }
 
 fn unavailable() -> Event {
     Event::Store(StoreAnswer::Read(Err(Unavailable)))
 }
 
+/// The state service answers that the job is cancelled.
+fn cancellation_read(job: &str) -> Event {
+    let mut store = common::Store::default();
+    let key = end_key(job);
+    let end = EndRecord::cancelled(0).to_value();
+    store.values.insert(key.clone(), (end, 1));
+    Event::Store(StoreAnswer::Read(Ok(store.item(&key))))
+}
+
 /// What a peer answers that can't take a request now.
 fn not_now() -> Event {
     Event::Peer(Some(PeerAnswer {
@@ -241,11 +255,7 @@
     let nothing = || Event::Store(StoreAnswer::Read(Ok(None)));
     request.on(Event::Located(Some(located)));
     request.on(nothing());
-    let mut store = common::Store::default();
-    let end = stairstage::bookkeeping::records::EndRecord::cancelled(0);
-    let key = stairstage::bookkeeping::records::end_key(&jobs::id_of(0));
-    store.values.insert(key.clone(), (end.to_value(), 1));
-    let told = request.on(Event::Store(StoreAnswer::Read(Ok(store.item(&key)))));
+    let told = request.on(cancellation_read(&jobs::id_of(0)));
     let in_order = matches!(
         &told[..],
         [Effect::Ended(_), Effect::Answer(Answer::Known(_))]
@@ -253,23 +263,17 @@
     assert!(in_order, "{told:?}");
 }
 
-fn compared(outcome: Outcome) -> Event {
-    Event::Store(StoreAnswer::Committed(outcome))
-}
-
-/// The first submission that names another job, when the state service has neither an open job nor
-/// an end of that name at hand.
-fn submission_that_names_an_unknown_job() -> (Request, Vec<Effect>) {
-    let waiting = (0..jobs::JOBS).find(|job| jobs::needs(*job).is_some());
-    let body = jobs::body_of(waiting.expect("one that waits"));
-    let (mut request, _) = Request::submission(&body, context(false));
-    let effects = request.on(compared(Outcome::Applied(1)));
-    (request, effects)
+/// The first job that names another one, and that one.
+fn waiting_job() -> (u8, u8) {
+    let mut waiting = (0..jobs::JOBS).filter_map(|job| Some((job, jobs::needs(job)?)));
+    waiting.next().expect("one that waits")
 }
 
 #[test]
 fn a_name_that_cannot_be_read_is_no_name_that_was_never_accepted() {
-    let (mut request, reads) = submission_that_names_an_unknown_job();
+    let (waiting, _) = waiting_job();
+    let (mut request, _) = Request::submission(&jobs::body_of(waiting), context(false));
+    let reads = request.on(committed(Outcome::Applied(1)));
     assert!(reads_store(&reads), "{reads:?}");
     let handed_on = request.on(unavailable());
     assert!(asks(&handed_on, "n1"), "{handed_on:?}");
@@ -279,25 +283,20 @@
 
 #[test]
 fn a_job_that_names_a_cancelled_one_is_accepted_with_its_end() {
-    let waiting = (0..jobs::JOBS).find(|job| jobs::needs(*job).is_some());
-    let waiting = waiting.expect("one that waits");
-    let needed = jobs::id_of(jobs::needs(waiting).expect("it waits"));
+    let (waiting, needed) = waiting_job();
+    let needed = jobs::id_of(needed);
     let (mut request, _) = Request::submission(&jobs::body_of(waiting), context(false));
-    let end = stairstage::bookkeeping::records::end_key(&needed);
-    let reads = request.on(compared(Outcome::Conflict(vec![end.clone()])));
+    let reads = request.on(committed(Outcome::Conflict(vec![end_key(&needed)])));
     assert!(reads_store(&reads), "{reads:?}");
-    let mut store = common::Store::default();
-    let record = stairstage::bookkeeping::records::EndRecord::cancelled(0);
-    store.values.insert(end.clone(), (record.to_value(), 1));
-    let commits = request.on(Event::Store(StoreAnswer::Read(Ok(store.item(&end)))));
+    let commits = request.on(cancellation_read(&needed));
     let [Effect::Store(StoreCall::Commit(transaction))] = &commits[..] else {
         panic!("{commits:?}");
     };
-    let own_end = stairstage::bookkeeping::records::end_key(&jobs::id_of(waiting));
+    let own_end = end_key(&jobs::id_of(waiting));
     let writes_end = matches!(&transaction.changes[..],
         [Change::Put { key, .. }] if *key == own_end);
     assert!(writes_end, "{transaction:?}");
-    let told = request.on(compared(Outcome::Applied(2)));
+    let told = request.on(committed(Outcome::Applied(2)));
     let cancelled = matches!(&told[..],
         [.., Effect::Answer(Answer::Accepted { state, .. })] if *state == JobState::Cancelled);
     assert!(cancelled, "{told:?}");
