--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -151,11 +151,15 @@
     pub(super) raised_at: Time,
     pub(super) raising: bool,
     pub deposed: bool,
+    /// Whether this leader has launched a task yet.
+    pub(super) launched: bool,
     /// When every other controller had promised to answer no report with a lower token.
     pub(super) promised: Option<Time>,
     /// How many machines are up, and when any was last heard.
     pub(super) up: usize,
     pub(super) last_heard: Time,
+    /// When a worker last reported to this node itself, in this term.
+    pub(super) reported_here: Option<Time>,
     /// The ends of the last gap that may be, and of the last that is, a fault of our own network.
     pub(super) gap_ended: Time,
     pub(super) hears_since: Time,
@@ -235,9 +239,11 @@
             raised_at: now,
             raising: false,
             deposed: false,
+            launched: false,
             promised: None,
             up: 0,
             last_heard: now,
+            reported_here: None,
             gap_ended: now,
             hears_since: now,
             mass_failure_since: None,
@@ -295,7 +301,7 @@
         gap.max(LEAST_GAP) * self.settings.cluster.workers.report_s
     }
 
-    /// A worker is heard. After a gap, what others did not answer in it says nothing of them; after
+    /// A worker is heard by this node itself. After a gap, what others did not answer in it says nothing of them; after
     /// one in which each should have reported, their silence counts from now. A shorter one may be
     /// chance when many report at the same time, again and again.
     pub(super) fn hears(&mut self, now: Time) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,6 +3,7 @@
 use super::core::{Core, Effect};
 use super::demand::{merged, Demand};
 use super::state::*;
+use super::traffic::Traffic;
 use super::Time;
 use crate::protocol::cloud::*;
 use crate::protocol::job::{JobSpec, Kind};
@@ -10,36 +11,11 @@
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
-/// Boot times over which arrivals and ends of services are counted.
-const WINDOW_BOOTS: f64 = 4.0;
-/// Seconds of arrivals that are remembered at the most.
-const REMEMBERED: usize = 600;
 /// The share of an earlier leader's machines that must have been heard before any are rented.
 const SETTLED_SHARE: f64 = 0.9;
 /// What a machine costs at least, in seconds of its price.
 pub(super) const LEAST_CHARGE_S: f64 = 60.0;
 
-/// How many replicas of a class came and went of late, by the second.
-pub(super) struct Traffic {
-    pub spec: Arc<JobSpec>,
-    /// What was there at first is no sign of what comes.
-    first: Time,
-    came: BTreeMap<i64, u32>,
-    went: BTreeMap<i64, u32>,
-}
-
-fn count(seconds: &mut BTreeMap<i64, u32>, replicas: u32, now: Time) {
-    *seconds.entry(now.floor() as i64).or_default() += replicas;
-    while seconds.len() > REMEMBERED {
-        seconds.pop_first();
-    }
-}
-
-fn since(seconds: &BTreeMap<i64, u32>, from: Time) -> f64 {
-    let counts = seconds.range(from.ceil() as i64..).map(|(_, n)| *n);
-    f64::from(counts.sum::<u32>())
-}
-
 #[derive(Default)]
 pub struct Fleet {
     pub(super) services: BTreeMap<String, Traffic>,
@@ -53,52 +29,52 @@
 
 impl Fleet {
     pub(super) fn arrived(&mut self, spec: &Arc<JobSpec>, now: Time) {
-        if spec.kind != Kind::Service {
-            return;
+        if spec.kind == Kind::Service {
+            let entry = self.services.entry(spec.class.clone());
+            let traffic = entry.or_insert_with(|| Traffic::new(spec.clone(), now));
+            traffic.arrived(spec, now);
         }
-        let entry = self.services.entry(spec.class.clone());
-        let traffic = entry.or_insert_with(|| Traffic {
-            spec: spec.clone(),
-            first: now,
-            came: BTreeMap::new(),
-            went: BTreeMap::new(),
-        });
-        traffic.spec = spec.clone();
-        traffic.first = traffic.first.min(now);
-        count(&mut traffic.came, spec.tasks, now);
     }
 
     pub(super) fn left(&mut self, spec: &JobSpec, now: Time) {
         if let Some(traffic) = self.services.get_mut(&spec.class) {
-            count(&mut traffic.went, spec.tasks, now);
+            traffic.left(spec.tasks, now);
         }
     }
 
     /// Replicas that are expected within the time that a machine takes to boot, beyond those whose
     /// room comes free by then: their shape, number and image.
     pub(super) fn expected(&self, core: &Core, now: Time) -> Vec<(Room, u32, String)> {
-        let boot_s = core
-            .types
-            .iter()
-            .map(|t| t.boot_s)
-            .fold(f64::INFINITY, f64::min);
-        if !boot_s.is_finite() {
+        let Some(boot_s) = core.shortest_boot_s() else {
             return Vec::new();
-        }
+        };
         let warm = core.settings.policy.warm;
-        let window = WINDOW_BOOTS * boot_s;
-        let of_class = |t: &Traffic| {
-            let from = (now - window).max(t.first + core.settings.cluster.workers.report_s);
-            let came = since(&t.came, from) * boot_s / window;
-            let went = since(&t.went, from) * boot_s / window;
-            let count = ((came - went).max(0.0) + warm * came.sqrt()).ceil() as u32;
-            (Room::of(&t.spec), count, t.spec.image.clone())
+        let report_s = core.settings.cluster.workers.report_s;
+        let of_class = |traffic: &Traffic| {
+            let rates = traffic.within_a_boot(boot_s, report_s, now);
+            let growth = (rates.came - rates.went).max(0.0);
+            let count = (growth + warm * rates.came.sqrt()).ceil() as u32;
+            let spec = &traffic.spec;
+            (Room::of(spec), count, spec.image.clone())
         };
         self.services.values().map(of_class).collect()
     }
+
+    /// Drops what no decision will look back to.
+    fn forget_traffic(&mut self, boot_s: f64, now: Time) {
+        for traffic in self.services.values_mut() {
+            traffic.forget_old(boot_s, now);
+        }
+    }
 }
 
 impl Core {
+    /// How long the machine type that boots soonest takes; `None` while no types are known.
+    fn shortest_boot_s(&self) -> Option<f64> {
+        let boots = self.types.iter().map(|t| t.boot_s);
+        boots.min_by(f64::total_cmp)
+    }
+
     /// Rents on as soon as answers are in, but not more often than the cloud takes calls.
     pub(super) fn rent_on(&mut self, now: Time) {
         let pause_s = 1.0 / self.settings.cluster.cloud.rps;
@@ -114,6 +90,9 @@
         self.fleet.again = false;
         self.fleet.managed = now;
         self.fleet.refused.retain(|_, until| *until > now);
+        if let Some(boot_s) = self.shortest_boot_s() {
+            self.fleet.forget_traffic(boot_s, now);
+        }
         if !self.has_settled(now) {
             return;
         }
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -17,13 +17,16 @@
 const MOST_DOUBLINGS: u32 = 6;
 const LONGEST_PAUSE_SHARE: f64 = 0.5;
 
-/// Machines that are probed in one tick.
-const PROBES: usize = 64;
 /// Report intervals without a report after which a machine is asked, and after which it is held to
 /// hang if it did not answer. An interval may be a quarter longer by itself: few are, and asking
 /// those costs less than hearing of the others later.
 const LATE_REPORTS: f64 = 1.15;
 const SUSPECT_REPORTS: f64 = 1.3;
+/// Report intervals without a report of any worker to this node itself after which its own network may
+/// be at fault; for a leader to which workers have reported, at the latest after so many times as long
+/// as chance explains.
+const UNHEARD_REPORTS: f64 = 1.3;
+const UNHEARD_GAPS: f64 = 2.0;
 /// Machines that leave commands unanswered when many fail together: more than this share of the fleet,
 /// and than so many.
 const MASS_FAILURE_SHARE: f64 = 0.02;
@@ -155,6 +158,17 @@
         now - last.max(since)
     }
 
+    /// Whether no worker reports to this node itself, though there are machines: its own network may be
+    /// at fault. Many workers leave short gaps only, once they have found this leader.
+    pub fn hears_no_worker(&self, now: Time) -> bool {
+        let interval_s = UNHEARD_REPORTS * self.settings.cluster.workers.report_s;
+        let unheard = match self.reported_here {
+            Some(last) => now - last > interval_s.min(UNHEARD_GAPS * self.silence_of_all_s()),
+            None => now - self.leads_since > interval_s,
+        };
+        unheard && !self.machines.is_empty()
+    }
+
     /// Since when a machine has left a command unanswered, if not for a fault of our own network.
     fn unanswered_since(&self, m: &Machine) -> Option<Time> {
         m.unanswered.filter(|t| *t > self.gap_ended)
@@ -239,15 +253,21 @@
     /// any more.
     fn probe_machines(&mut self, now: Time) {
         let late_s = self.settings.cluster.workers.report_s * LATE_REPORTS;
-        let late = |m: &Machine| m.heard.is_none_or(|t| now - t > late_s);
-        let names: Vec<Name> = self
-            .machines
-            .values()
-            .filter(|m| m.phase == Phase::Up && (late(m) || m.unresponsive_since.is_some()))
-            .filter(|m| !m.order_in_flight && now >= m.no_orders_until && m.endpoint.is_some())
-            .map(|m| m.name.clone())
-            .take(PROBES)
-            .collect();
+        let unheard = |m: &&Machine| {
+            let late = m.heard.is_none_or(|t| now - t > late_s);
+            m.phase == Phase::Up && (late || m.unresponsive_since.is_some())
+        };
+        let machines = || self.machines.values();
+        // As many at a time as there are connections for: more would only wait for those.
+        let in_flight = machines().filter(|m| m.order_in_flight).count();
+        let most = self
+            .settings
+            .command_connections()
+            .saturating_sub(in_flight);
+        let ready = machines()
+            .filter(unheard)
+            .filter(|m| !m.order_in_flight && now >= m.no_orders_until && m.endpoint.is_some());
+        let names: Vec<Name> = ready.map(|m| m.name.clone()).take(most).collect();
         for name in names {
             self.order(&name, Vec::new());
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,11 +1,10 @@
 //! Leadership and the scheduler.
 //!
 //! Everything here is clock-free: it takes events with their time, and returns effects for other
-//! actors to carry out. [`election`] decides who leads; [`core`] owns the state; [`places`] guards the invariants that the
-//! rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell it; [`queue`],
-//! [`pipelines`],
-//! [`deadlines`], [`backfill`], [`placement`], [`predict`], `demand`, [`fleet`], [`retiring`] and [`health`]
-//! decide. [`redirects`] is a follower's; [`requests`] are users', on any node.
+//! actors to carry out. [`election`] decides who leads; [`core`] owns the state; [`places`] guards the
+//! invariants that the rules rest on; [`jobs`], [`reports`], [`orders`] and [`writes`] change and tell
+//! it; [`queue`], [`pipelines`], [`deadlines`], [`backfill`], [`placement`], [`predict`], `demand`,
+//! [`fleet`], `traffic`, [`retiring`] and [`health`] decide. [`redirects`] is a follower's; [`requests`] are users', on any node.
 
 pub mod backfill;
 pub mod cancellations;
@@ -28,6 +27,7 @@
 pub mod requests;
 pub mod retiring;
 pub mod state;
+mod traffic;
 pub mod writes;
 
 /// Seconds of the steady clock since the process began.
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::records::Cut;
 use crate::protocol::worker::{Cause, Command, Orders};
 use std::collections::BTreeMap;
-use tracing::debug;
+use tracing::{debug, info};
 
 /// Exited tasks that may stay on a machine, on average, until a new token lets them be forgotten.
 const EXITED_A_MACHINE: usize = 4;
@@ -72,6 +72,11 @@
                 }
             }
         }
+        if !self.launched && commands.iter().any(Command::is_start) {
+            self.launched = true;
+            let after_s = now - self.leads_since;
+            info!("the first launch, {after_s:.2} s after the records were read");
+        }
         // Stops first: what they free, a launch behind them may take.
         commands.sort_by_key(|c| match c {
             Command::Stop { .. } => 0,
--- a/src/coordination/placement/mod.rs
+++ b/src/coordination/placement/mod.rs
@@ -128,12 +128,9 @@
         let core = self.core;
         self.zones.entry(job.id.clone()).or_insert_with(|| {
             let mut zones = HashMap::new();
-            // Only such jobs are asked for; others would be scanned for nothing.
-            if job.spec.one_zone || job.spec.spread {
-                for at in job.tasks.iter().flat_map(|t| &t.at) {
-                    if let Some(m) = core.machines.get(&at.machine) {
-                        *zones.entry(m.zone.clone()).or_default() += 1;
-                    }
+            for at in job.tasks.iter().flat_map(|t| &t.at) {
+                if let Some(m) = core.machines.get(&at.machine) {
+                    *zones.entry(m.zone.clone()).or_default() += 1;
                 }
             }
             zones
@@ -141,8 +138,11 @@
     }
 
     fn zone_allowed(&mut self, job: &Job, zone: &Name) -> bool {
-        let most = job.spec.tasks.div_ceil(2);
         let (one_zone, spread) = (job.spec.one_zone, job.spec.spread);
+        if !one_zone && !spread {
+            return true;
+        }
+        let most = job.most_in_zone();
         let zones = self.zones_of(job);
         // The zone of a machine that is known by its name only may be any.
         let unknown = zones.get("").copied().unwrap_or(0);
@@ -181,8 +181,11 @@
         let usage = self.team_use.entry(job.spec.team.clone()).or_default();
         usage.0 += need.cpus;
         usage.1 += need.gpus;
-        let zone = self.machines[i].zone.clone();
-        *self.zones_of(job).entry(zone).or_default() += 1;
+        // Other jobs' zones are never asked for.
+        if job.spec.one_zone || job.spec.spread {
+            let zone = self.machines[i].zone.clone();
+            *self.zones_of(job).entry(zone).or_default() += 1;
+        }
         *self.placed.entry(job.id.clone()).or_default() += 1;
         self.plans.places.push(Plan {
             job: job.id.clone(),
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -9,6 +9,19 @@
 use std::collections::BTreeSet;
 use tracing::{debug, info, warn};
 
+/// How a worker's report came here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportSource {
+    /// The worker sent it to this node.
+    Worker,
+    /// The worker sent it to another controller, which passed it on. It says nothing of the way
+    /// between this node and the worker.
+    Peer,
+    /// It answered a direct command. It says nothing of the answer to the worker's last own report,
+    /// which may still be under way.
+    CommandAnswer,
+}
+
 impl Core {
     /// Whether a report is newer than all before it. A worker keeps the highest token that it has
     /// seen: with a lower one it is from before its process ended, or a new process that must first
@@ -33,22 +46,26 @@
         }
     }
 
-    /// Takes in the report that answered a direct command. It says nothing of the answer to the
-    /// worker's last own report, which may still be under way.
+    /// Takes in the report that answered a direct command.
     pub fn absorb(&mut self, r: &Report, now: Time) -> bool {
-        self.take_in(r, false, now)
+        self.take_in(r, ReportSource::CommandAnswer, now)
     }
 
     /// Takes in a report of any origin, if it is newer than all before it. A late copy proves
     /// nothing but what has completed.
-    fn take_in(&mut self, r: &Report, is_own: bool, now: Time) -> bool {
+    fn take_in(&mut self, r: &Report, source: ReportSource, now: Time) -> bool {
         let name: Name = r.machine.as_str().into();
         let lease_s = self.settings.cluster.workers.lease_s;
         if !self.is_newer(r) || self.gone.contains_key(&name) {
             self.completed_by(r, now);
             return false;
         }
-        self.hears(now);
+        if source != ReportSource::Peer {
+            self.hears(now);
+        }
+        if source == ReportSource::Worker {
+            self.reported_here = Some(now);
+        }
         if !self.machines.contains_key(&name) {
             info!("{name}: reports, and was not expected; adopted");
             let kind = r.kind.as_str().into();
@@ -82,7 +99,7 @@
         if new_session {
             m.reported = 0;
         }
-        if is_own {
+        if source != ReportSource::CommandAnswer {
             m.reported = r.seq;
         }
         m.session = r.session;
@@ -207,8 +224,13 @@
         }
     }
 
-    /// Takes in a worker's own report and answers it.
+    /// Takes in a report that its worker sent to this node, and answers it.
     pub fn report(&mut self, r: &Report, now: Time) -> ReportOutcome {
+        self.report_from(ReportSource::Worker, r, now)
+    }
+
+    /// Takes in a worker's own report, sent here or passed on, and answers it.
+    pub fn report_from(&mut self, source: ReportSource, r: &Report, now: Time) -> ReportOutcome {
         if r.token > self.token {
             warn!(
                 "{}: has seen token {}, ours is {}",
@@ -217,7 +239,7 @@
             self.deposed = true;
             return ReportOutcome::Deposed;
         }
-        if !self.take_in(r, true, now) {
+        if !self.take_in(r, source, now) {
             return ReportOutcome::Stale;
         }
         let name: Name = r.machine.as_str().into();
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -95,6 +95,12 @@
     },
 }
 
+impl Command {
+    pub fn is_start(&self) -> bool {
+        matches!(self, Command::Start { .. })
+    }
+}
+
 /// The answer to a report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportAnswer {
--- a/src/service/controller/leadership.rs
+++ b/src/service/controller/leadership.rs
@@ -6,11 +6,11 @@
 use crate::coordination::election::{ElectionEvent, ElectionRequest};
 use crate::coordination::recovery::Records;
 use crate::coordination::Time;
+use crate::service::cloud_calls::CloudCall;
 use crate::service::messages::PeerReachability;
 use crate::service::peer_queries::{self, PromiseCollector};
 use crate::service::record_reader::RecordReader;
 use crate::service::spawn;
-use crate::service::workers::CloudCall;
 use crate::transport::{Reply, Respond};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -170,7 +170,8 @@
         let silent_s = SILENT_REPORTS * self.settings.cluster.workers.report_s;
         let silent = now - self.heard.max(core.leads_since) > silent_s;
         let hands_over = match reachability {
-            PeerReachability::ReachableWithWorkers => true,
+            // Reports may have come since the peers were asked.
+            PeerReachability::ReachableWithWorkers => core.hears_no_worker(now),
             PeerReachability::Unreachable => silent && !self.links.peers.is_empty(),
             PeerReachability::ReachableWithoutWorkers => false,
         };
--- a/src/service/controller/mod.rs
+++ b/src/service/controller/mod.rs
@@ -4,12 +4,14 @@
 mod reports;
 
 use super::busy;
+use super::cloud_calls::CloudCall;
 use super::gateway::Task;
 use super::messages::Message;
 use super::peer_queries::CancellationQueries;
-use super::workers::{CloudCall, Pool};
+use super::workers::Pool;
 use crate::bookkeeping::cancellations::{CancellationLog, Cursor};
 use crate::bookkeeping::index::EndIndex;
+use crate::bookkeeping::records::OpenRecord;
 use crate::bookkeeping::store::Store;
 use crate::coordination::cancellations::CancellationEvidence;
 use crate::coordination::core::{Core, Effect};
@@ -105,9 +107,6 @@
 const LIST_SHARE: f64 = 0.1;
 /// Messages taken in before the core decides again.
 const BATCH: usize = 64;
-/// Report intervals without a report of any worker after which a leader asks whether others get them.
-/// An interval may be a quarter longer by itself.
-const PROBE_REPORTS: f64 = 1.3;
 const STEP: Duration = Duration::from_millis(20);
 /// Bytes that a remembered end takes, and the share of memory for them.
 const END_BYTES: f64 = 200.0;
@@ -199,11 +198,7 @@
         }
         let effects = core.take_effects();
         let deposed = core.deposed;
-        // With machines, but no report of any, the fault may be this node's own network.
-        let probe_s = PROBE_REPORTS * self.settings.cluster.workers.report_s;
-        let silent_s = now - self.heard.max(core.leads_since);
-        let unheard = core.machine_count() > 0 && silent_s > probe_s;
-        if tick && unheard && !self.probing {
+        if tick && !self.probing && core.hears_no_worker(now) {
             self.probing = true;
             self.probe_peers();
         }
@@ -267,15 +262,7 @@
             Message::Locate(id, reply) => {
                 let _ = reply.try_send(self.locate(&id));
             }
-            // News of a job that is over already: it went through a watch that fell behind.
-            Message::Opened(record, _)
-                if self.ends.get(&record.spec.id).is_some() && !record.cancelled => {}
-            Message::Opened(record, version) => {
-                let wall = wall_ms();
-                if let Some(core) = self.core() {
-                    core.job_opened(*record, version, wall, now);
-                }
-            }
+            Message::Opened(opened) => self.opened(opened),
             Message::Ended(id, state) => self.ended(&id, state),
             Message::Found(ends) => {
                 if let Some(core) = self.core() {
@@ -364,6 +351,22 @@
         }
     }
 
+    /// Takes in the records of open jobs.
+    fn opened(&mut self, opened: Vec<(OpenRecord, u64)>) {
+        let now = self.now();
+        let wall = wall_ms();
+        for (record, version) in opened {
+            let ended = self.ends.get(&record.spec.id).is_some();
+            // News of a job that is over already went through a watch that fell behind.
+            if ended && !record.cancelled {
+                continue;
+            }
+            if let Some(core) = self.core() {
+                core.job_opened(record, version, wall, now);
+            }
+        }
+    }
+
     /// A job has ended, as a user was told or the state service says.
     fn ended(&mut self, id: &str, state: JobState) {
         let now = self.now();
--- a/src/service/controller/reports.rs
+++ b/src/service/controller/reports.rs
@@ -4,6 +4,7 @@
 use crate::coordination::cancellations::{CancellationEvidence, PeerAnswer};
 use crate::coordination::core::ReportOutcome;
 use crate::coordination::redirects::Route;
+use crate::coordination::reports::ReportSource;
 use crate::coordination::Time;
 use crate::protocol::job::JobState;
 use crate::protocol::worker::{Elsewhere, Report};
@@ -33,7 +34,11 @@
         if !renews {
             return self.redirect(report, body, passed_on, respond);
         }
-        let reply = match core.report(&report, now) {
+        let source = match passed_on {
+            true => ReportSource::Peer,
+            false => ReportSource::Worker,
+        };
+        let reply = match core.report_from(source, &report, now) {
             ReportOutcome::Answer(answer) => {
                 if !passed_on {
                     self.heard = now;
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -205,7 +205,8 @@
                     Event::Peer(self.ask(&peer, &asked))
                 }
                 Effect::Opened(record, version) => {
-                    let _ = self.controller.try_send(Message::Opened(record, version));
+                    let opened = Message::Opened(vec![(*record, version)]);
+                    let _ = self.controller.try_send(opened);
                     continue;
                 }
                 Effect::Ended(state) => {
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -25,8 +25,8 @@
     },
     /// What is known of a job here, and who leads.
     Locate(String, Sender<Located>),
-    /// A job was accepted or cancelled, as its record says.
-    Opened(Box<OpenRecord>, u64),
+    /// Jobs that were accepted or cancelled, as their records say, with the versions of these.
+    Opened(Vec<(OpenRecord, u64)>),
     Ended(String, JobState),
     /// How jobs ended that were looked up, if they did.
     Found(Vec<(Name, Option<EndRecord>)>),
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -1,9 +1,10 @@
 //! Starts the actors and joins them by channels.
 //!
 //! The [`controller`] owns the picture of the cluster; the election, the watch, the writers, the
-//! cloud's callers each work on their own threads and speak to it by messages. Users' requests pass through the [`gateway`]'s stage, whose buffer is small: what
-//! does not fit is answered at once.
+//! cloud's callers each work on their own threads and speak to it by messages. Users' requests pass
+//! through the [`gateway`]'s stage, whose buffer is small: what does not fit is answered at once.
 
+pub mod cloud_calls;
 pub mod controller;
 pub mod election;
 pub mod end_notifier;
@@ -18,6 +19,7 @@
 use crate::bookkeeping::cancellations::CancellationLog;
 use crate::bookkeeping::store::Store;
 use crate::coordination::election::Election;
+use crate::settings::sockets::GATEWAYS;
 use crate::settings::Settings;
 use crate::transport::front::{self, Bounds, Call};
 use crate::transport::peers::{PeerCall, Peers};
@@ -34,22 +36,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Messages that may wait for the controller, as a share of the sockets: after an election, workers
-/// come together, and one that is turned away is back a second later.
-const INBOX_SHARE: f64 = 0.4;
-/// Users' requests that may wait, and how many are worked on at a time.
+/// Users' requests that may wait.
 const STAGE: usize = 128;
-const GATEWAYS: usize = 16;
-/// Sockets that a process needs whatever its size: for the state service one for each gateway, for
-/// each writer and for the watches, then the cloud's, the peers' and the listening ones.
-const OWN_SOCKETS: usize = GATEWAYS + 24;
-/// Shares of the other sockets: what the front may hold, of that the workers and the users at the
-/// most, and direct commands to workers. What the front may hold beyond both is for workers without a
-/// share, which connect for each report.
-const FRONT_SHARE: f64 = 0.95;
-const WORKERS_SHARE: f64 = 0.65;
-const USERS_SHARE: f64 = 0.27;
-const ORDERS_SHARE: f64 = 0.04;
 /// Report intervals for which a connection may stay open without a request.
 const IDLE_REPORTS: f64 = 10.0;
 const LEAST_IDLE_S: f64 = 20.0;
@@ -60,7 +48,7 @@
 pub fn run(settings: Settings) -> anyhow::Result<()> {
     let settings = Arc::new(settings);
     let epoch = Instant::now();
-    let (inbox, messages) = bounded::<Message>(share(&settings, INBOX_SHARE).max(STAGE));
+    let (inbox, messages) = bounded::<Message>(settings.inbox_messages().max(STAGE));
     let (stage, tasks) = bounded::<Task>(STAGE);
 
     let (peer_inbox, peer_stage) = (inbox.clone(), stage.clone());
@@ -134,14 +122,7 @@
         spawn("gateway", move || gateway.run())?;
     }
 
-    let pool = workers::start(
-        &settings,
-        &runtime,
-        share(&settings, ORDERS_SHARE),
-        &store,
-        &types,
-        &inbox,
-    )?;
+    let pool = workers::start(&settings, &runtime, &store, &types, &inbox)?;
     let query_patience = Duration::from_secs_f64(report_s / 2.0);
     let cancellation_queries = CancellationQueries::start(&peers, &inbox, epoch, query_patience)?;
     let links = Links {
@@ -168,12 +149,6 @@
     anyhow::bail!("the controller has stopped")
 }
 
-/// A share of the sockets that this process may have beyond its own.
-fn share(settings: &Settings, share: f64) -> usize {
-    let most = settings.cluster.limits.max_sockets;
-    (share * most.saturating_sub(OWN_SOCKETS) as f64) as usize
-}
-
 /// How many cancellations are kept for other controllers: no more can be written before the tasks of
 /// the first must be gone.
 fn cancellation_capacity(settings: &Settings) -> usize {
@@ -185,9 +160,9 @@
 pub fn bounds(settings: &Settings) -> Bounds {
     let report_s = settings.cluster.workers.report_s;
     Bounds {
-        connections: share(settings, FRONT_SHARE),
-        workers: share(settings, WORKERS_SHARE),
-        users: share(settings, USERS_SHARE),
+        connections: settings.front_connections(),
+        workers: settings.worker_connections(),
+        users: settings.user_connections(),
         idle: Duration::from_secs_f64((IDLE_REPORTS * report_s).max(LEAST_IDLE_S)),
         body: BODY_PATIENCE,
     }
--- a/src/service/record_reader.rs
+++ b/src/service/record_reader.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::store::{Store, Unavailable};
 use crate::coordination::recovery::Records;
 use crate::coordination::Time;
-use crate::protocol::store::{Events, Item};
+use crate::protocol::store::Events;
 use crossbeam::channel::Sender;
 use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -110,33 +110,25 @@
     fn reread(&self) -> Result<u64, Unavailable> {
         let sent = self.now();
         let (items, revision) = self.store.list(OPEN)?;
-        for Item {
-            key,
-            value,
-            version,
-        } in items
-        {
-            self.opened(&key, value, version);
-        }
+        let records = items.into_iter();
+        self.hand_in(records.map(|item| (item.key, item.value, item.version)));
         self.records_read(sent);
         Ok(revision)
     }
 
     fn hand_in_events(&self, events: Events) {
-        for event in events.events {
-            if let Some(key) = event.put {
-                self.opened(&key, event.value, event.version);
-            }
-        }
+        let written = events.events.into_iter();
+        self.hand_in(written.filter_map(|event| Some((event.put?, event.value, event.version))));
     }
 
-    fn opened(&self, key: &str, value: Value, version: u64) {
-        match serde_json::from_value::<OpenRecord>(value) {
-            Ok(record) => {
-                let message = Message::Opened(Box::new(record), version);
-                let _ = self.inbox.send(message);
-            }
-            Err(error) => warn!("{key}: cannot be read: {error}"),
+    /// Hands in open jobs in one message, however many there are: the controller's inbox keeps its
+    /// room for workers' reports.
+    fn hand_in(&self, records: impl Iterator<Item = (String, Value, u64)>) {
+        let opened: Vec<(OpenRecord, u64)> = records
+            .filter_map(|(key, value, version)| Some((decode(&key, value)?, version)))
+            .collect();
+        if !opened.is_empty() {
+            let _ = self.inbox.send(Message::Opened(opened));
         }
     }
 
@@ -145,3 +137,9 @@
         let _ = self.inbox.send(Message::RecordsRead { token, sent });
     }
 }
+
+fn decode(key: &str, value: Value) -> Option<OpenRecord> {
+    serde_json::from_value(value)
+        .map_err(|error| warn!("{key}: cannot be read: {error}"))
+        .ok()
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! The settings: the platform's TOML file, and the operators' own S-expressions.
 
 pub mod policy;
+pub mod sockets;
 
 use policy::Policy;
 use serde::Deserialize;
--- /dev/null
+++ b/tests/common/full_fleet.rs
@@ -0,0 +1,123 @@
+//! A leader whose machines are all full.
+
+use super::*;
+
+/// A leader of many machines, each full of running tasks.
+pub struct FullFleet {
+    pub core: Core,
+    /// What runs on each machine.
+    pub tasks: Vec<Vec<TaskReport>>,
+    /// Changes at the state service that it took to get there.
+    pub changes: usize,
+    /// The largest record, transaction and number of conditions on the way.
+    pub largest: LargestWrite,
+    /// The records of places, as they are left.
+    pub places: BTreeMap<String, (Value, u64)>,
+    /// When it was full.
+    pub now: f64,
+}
+
+/// The most that any transaction held.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LargestWrite {
+    pub value_bytes: usize,
+    pub changes: usize,
+    pub conditions: usize,
+}
+
+impl LargestWrite {
+    fn note(&mut self, transaction: &Transaction) {
+        self.changes = self.changes.max(transaction.changes.len());
+        self.conditions = self.conditions.max(transaction.conditions.len());
+        for change in &transaction.changes {
+            if let Change::Put { value, .. } = change {
+                self.value_bytes = self.value_bytes.max(value.to_string().len());
+            }
+        }
+    }
+}
+
+/// The description of the job for each machine.
+pub fn job_of_machine(machine: u32) -> OpenRecord {
+    let spec = parsed(&submission(&format!("req-{machine}"), "sweep", "normal", 4));
+    OpenRecord::accepted(spec, 0)
+}
+
+/// A leader of so many machines of the only type, and of as many jobs, each with a machine's tasks.
+pub fn full_fleet(machines: u32) -> FullFleet {
+    let mut core = core();
+    for i in 0..machines {
+        report_of(&mut core, &format!("m-{i}"), 1, None, Vec::new(), 0.0);
+    }
+    for i in 0..machines {
+        core.job_opened(job_of_machine(i), u64::from(i) + 1, 0, 0.0);
+    }
+    let mut tasks: Vec<Vec<TaskReport>> = vec![Vec::new(); machines as usize];
+    let mut places = BTreeMap::new();
+    let mut largest = LargestWrite::default();
+    let mut changes = 0;
+    let mut now = 0.0;
+    while tasks.iter().map(Vec::len).sum::<usize>() < 4 * machines as usize {
+        now += 0.1;
+        carry_out_all(&mut core, now, |effect| match effect {
+            Effect::Write { id, transaction } => {
+                changes += transaction.changes.len();
+                largest.note(transaction);
+                for change in &transaction.changes {
+                    if let Change::Put { key, value, .. } = change {
+                        places.insert(key.clone(), (value.clone(), 100 + id));
+                    }
+                }
+            }
+            Effect::Orders {
+                machine, orders, ..
+            } => {
+                let started = starts(&orders.commands);
+                tasks[machine_number(machine)].extend(shown(&started, TaskState::Running, None));
+            }
+            _ => {}
+        });
+        assert!(now < 600.0, "the fleet does not fill");
+    }
+    for (i, tasks) in tasks.iter().enumerate() {
+        report_of(&mut core, &format!("m-{i}"), 2, None, tasks.clone(), now);
+    }
+    core.step(now + 1.0);
+    core.take_effects();
+    FullFleet {
+        core,
+        tasks,
+        changes,
+        largest,
+        places,
+        now: now + 1.0,
+    }
+}
+
+pub fn machine_number(name: &str) -> usize {
+    name[2..].parse().unwrap()
+}
+
+pub fn effect_bytes(effect: &Effect) -> usize {
+    match effect {
+        Effect::Write { transaction, .. } => serde_json::to_vec(transaction).unwrap().len(),
+        Effect::Orders { orders, .. } => serde_json::to_vec(orders).unwrap().len(),
+        _ => 0,
+    }
+}
+
+/// Like `carry_out`, but shows every effect.
+pub fn carry_out_all(core: &mut Core, now: f64, mut show: impl FnMut(&Effect)) {
+    each_effect(core, now, |core, effect| {
+        show(&effect);
+        match effect {
+            Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
+            // Its answer shows nothing that is not known.
+            Effect::Orders { machine, .. } => {
+                let known = worker_report(&machine, 0, 1, Vec::new());
+                core.ordered(&machine, Ordered::Executed(known), now);
+            }
+            _ => {}
+        }
+    });
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,11 +1,12 @@
 //! What several tests of the core begin with.
 #![allow(dead_code)] // no test uses all of it
 
+pub mod full_fleet;
 pub mod random;
 
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::*;
-use stairstage::coordination::core::{Core, Effect, ReportOutcome, Written};
+use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome, Written};
 use stairstage::coordination::recovery::Records;
 use stairstage::coordination::state::Name;
 use stairstage::protocol::cloud::MachineType;
@@ -327,3 +328,34 @@
         self.values.insert(place_key(0), (value, self.revision));
     }
 }
+
+/// Carries effects out; direct commands get no answer. Returns the tasks that were launched so, and
+/// the machines that were given back.
+pub fn out_of_reach(core: &mut Core, now: f64) -> (Vec<String>, Vec<String>) {
+    let (mut launches, mut returned) = (Vec::new(), Vec::new());
+    core.tick(now);
+    carry_out(core, now, |core, effect| match effect {
+        Effect::Orders {
+            machine, orders, ..
+        } => {
+            launches.extend(starts(&orders.commands).into_iter().map(|s| s.0));
+            core.ordered(&machine, Ordered::Unknown, now);
+        }
+        Effect::Return(names) => {
+            core.returned(&names, true, now);
+            returned.extend(names);
+        }
+        _ => {}
+    });
+    (launches, returned)
+}
+
+/// Hands in a report; returns what its answer launches.
+pub fn answered(core: &mut Core, report: &Report, now: f64) -> Vec<String> {
+    match core.report(report, now) {
+        ReportOutcome::Answer(answer) => {
+            starts(&answer.commands).into_iter().map(|s| s.0).collect()
+        }
+        other => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/tests/large_fleets.rs
@@ -0,0 +1,347 @@
+//! Fleets of up to 6,000 machines: half as many again as the largest in service.
+
+mod common;
+#[path = "common/standins.rs"]
+mod standins;
+
+use common::full_fleet::*;
+use common::*;
+use crossbeam::channel::bounded;
+use serde_json::json;
+use stairstage::bookkeeping::records::{OpenRecord, OPEN};
+use stairstage::bookkeeping::store::Store as StoreClient;
+use stairstage::coordination::core::{Effect, Ordered};
+use stairstage::coordination::recovery::Records;
+use stairstage::protocol::store::Item;
+use stairstage::protocol::worker::*;
+use stairstage::service::cloud_calls::Cloud;
+use stairstage::service::messages::Message;
+use stairstage::service::record_reader::RecordReader;
+use stairstage::settings::Settings;
+use stairstage::transport::front::{self, Bounds, Call};
+use stairstage::transport::runtime::Runtime;
+use stairstage::transport::Reply;
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const SMALL: u32 = 1000;
+const LARGEST: u32 = 6000;
+
+/// Tests that count allocated bytes, or build a whole fleet, run one after the other.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// What events cost a leader, and what it holds.
+#[derive(Debug, PartialEq)]
+struct Costs {
+    /// Machines and places that were looked at, and bytes that were sent, for reports without news.
+    report_looks: u64,
+    report_bytes: usize,
+    /// The same for tasks that end while nothing waits.
+    end_looks: u64,
+    largest: LargestWrite,
+}
+
+fn costs(fleet: FullFleet) -> Costs {
+    let FullFleet {
+        mut core,
+        mut tasks,
+        largest,
+        now,
+        ..
+    } = fleet;
+    let looks = core.looks();
+    let mut report_bytes = 0;
+    for seq in 0..20 {
+        let answer = report_of(&mut core, "m-7", 3 + seq, None, tasks[7].clone(), now);
+        report_bytes += serde_json::to_vec(&answer).unwrap().len();
+        core.step(now);
+        report_bytes += core.take_effects().iter().map(effect_bytes).sum::<usize>();
+    }
+    let report_looks = core.looks() - looks;
+    for i in 100..120 {
+        tasks[i][0].state = TaskState::Exited;
+        tasks[i][0].cause = Some(Cause::Done);
+        report_of(&mut core, &format!("m-{i}"), 3, None, tasks[i].clone(), now);
+        core.step(now);
+        core.take_effects();
+    }
+    Costs {
+        report_looks,
+        report_bytes,
+        end_looks: core.looks() - looks - report_looks,
+        largest,
+    }
+}
+
+/// The bytes that a leader holds for each of so many machines, and what events cost it.
+fn measured(machines: u32) -> (f64, Costs) {
+    let region = Region::new(ALLOCATOR);
+    let fleet = full_fleet(machines);
+    let change = region.change();
+    let held = change.bytes_allocated as f64 - change.bytes_deallocated as f64;
+    (held / f64::from(machines), costs(fleet))
+}
+
+#[test]
+fn in_any_fleet_events_cost_the_same_and_a_machine_takes_as_much_memory() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|e| e.into_inner());
+    let (small_bytes, small) = measured(SMALL);
+    let (large_bytes, large) = measured(LARGEST);
+    assert_eq!((small.report_looks, small.end_looks), (0, 0));
+    assert_eq!((large.report_looks, large.end_looks), (0, 0));
+    assert_eq!(small.report_bytes, large.report_bytes);
+    // The settings allow values of 16 KiB, 8 changes and four times as many conditions.
+    let settings = Settings::parse("test", SETTINGS).unwrap();
+    let state = &settings.cluster.state;
+    for written in [small.largest, large.largest] {
+        assert!(written.value_bytes <= state.record_bytes(), "{written:?}");
+        assert!(written.changes <= state.changes(), "{written:?}");
+        assert!(written.conditions <= state.conditions(), "{written:?}");
+    }
+    // With its job, its four tasks and what runs on it as the test keeps it. Of 72 MB, the least that
+    // any controller has had, the largest fleet takes less than two thirds.
+    let bytes = format!("{small_bytes} and {large_bytes} bytes a machine");
+    assert!(large_bytes < 1.1 * small_bytes, "{bytes}");
+    assert!(large_bytes * f64::from(LARGEST) < 48e6, "{bytes}");
+    println!("{bytes}");
+}
+
+/// Half of the fleet falls silent; the others report every two seconds. Returns the machines that are
+/// given back within 20 s, and the most direct commands that were under way without an answer.
+fn lose_half(fleet: &mut FullFleet) -> (BTreeSet<usize>, usize) {
+    let (core, tasks) = (&mut fleet.core, &fleet.tasks);
+    let half = tasks.len() / 2;
+    let mut returned = BTreeSet::new();
+    let mut unanswered: Vec<(f64, String)> = Vec::new();
+    let mut most = 0;
+    for tick in 1..=40 {
+        let now = fleet.now + f64::from(tick) / 2.0;
+        for i in (0..half).filter(|i| i % 4 == tick as usize % 4) {
+            let seq = 10 + u64::from(tick as u32);
+            report_of(core, &format!("m-{i}"), seq, None, tasks[i].clone(), now);
+        }
+        // A machine that hangs holds its command's connection for a second and a half.
+        let (over, waits): (Vec<_>, Vec<_>) =
+            unanswered.drain(..).partition(|(at, _)| now > at + 1.5);
+        unanswered = waits;
+        for (_, machine) in over {
+            core.ordered(&machine.as_str().into(), Ordered::Unknown, now);
+        }
+        core.tick(now);
+        carry_out(core, now, |core, effect| match effect {
+            Effect::Orders { machine, .. } => unanswered.push((now, machine.to_string())),
+            Effect::Return(names) => {
+                returned.extend(names.iter().map(|n| machine_number(n)));
+                // Commands to what is gone end with it.
+                unanswered.retain(|(_, machine)| !names.contains(machine));
+                core.returned(&names, true, now);
+            }
+            _ => {}
+        });
+        most = most.max(unanswered.len());
+    }
+    (returned, most)
+}
+
+#[test]
+fn the_loss_of_half_of_the_largest_fleet_is_noticed_with_few_connections() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|e| e.into_inner());
+    let mut fleet = full_fleet(LARGEST);
+    let half = fleet.tasks.len() / 2;
+    let (returned, most) = lose_half(&mut fleet);
+    let settings = Settings::parse("test", SETTINGS).unwrap();
+    assert!(most <= settings.command_connections(), "{most} at a time");
+    assert!(returned.iter().all(|i| *i >= half), "only what is silent");
+    // A hundred machines go back in each call, and two calls in a second.
+    assert!(
+        returned.len() >= half * 2 / 3,
+        "{} of {half}",
+        returned.len()
+    );
+}
+
+/// The records that a leader of a full fleet leaves to the next one.
+fn records_of(fleet: &FullFleet) -> Records {
+    let item = |key: String, value, version| Item {
+        key,
+        value,
+        version,
+    };
+    let open = (0..fleet.tasks.len() as u32).map(|i| {
+        let value = serde_json::to_value(job_of_machine(i)).unwrap();
+        item(format!("{OPEN}req-{i}"), value, u64::from(i) + 1)
+    });
+    let places = fleet.places.iter();
+    Records {
+        open: open.collect(),
+        run: Vec::new(),
+        places: places
+            .map(|(key, (value, version))| item(key.clone(), value.clone(), *version))
+            .collect(),
+    }
+}
+
+#[test]
+fn a_new_leader_takes_the_largest_fleet_over_and_launches_nothing_twice() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|e| e.into_inner());
+    let fleet = full_fleet(LARGEST);
+    let token = 1_000_000;
+    let mut next = core_with_token(token);
+    next.recover(records_of(&fleet), 0, 0.0);
+    assert_eq!(next.machine_count(), fleet.tasks.len());
+    let mut launched = 0;
+    let mut running = 0;
+    // All come within a report interval, as after a restart of all controllers.
+    for (i, tasks) in fleet.tasks.iter().enumerate() {
+        let now = 2.0 * i as f64 / fleet.tasks.len() as f64;
+        for (seq, seen) in [(3, 1), (4, token)] {
+            let report = worker_report(&format!("m-{i}"), seq, seen, tasks.clone());
+            launched += answered(&mut next, &report, now).len();
+        }
+        if i % 500 == 0 {
+            carry_out(&mut next, now, |core, effect| {
+                if let Effect::Orders {
+                    machine, orders, ..
+                } = effect
+                {
+                    launched += starts(&orders.commands).len();
+                    core.ordered(&machine, Ordered::Unknown, now);
+                }
+            });
+        }
+    }
+    for i in 0..fleet.tasks.len() {
+        running += next.status(&format!("req-{i}")).unwrap().running;
+    }
+    assert_eq!(launched, 0, "all of it runs");
+    assert_eq!(running as usize, 4 * fleet.tasks.len());
+}
+
+#[test]
+fn all_open_jobs_are_read_anew_in_one_message() {
+    let mut state = standins::State::default();
+    for i in 0..LARGEST {
+        state.revision += 1;
+        let record = (json!(job_of_machine(i)), state.revision, None);
+        state.keys.insert(format!("{OPEN}req-{i}"), record);
+    }
+    let state = Mutex::new(state);
+    // Each watch finds that it has fallen behind.
+    let address = standins::serve(move |method, url, body| match url.starts_with("/changes") {
+        true => (410, json!({})),
+        false => state.lock().unwrap().answer(method, url, body),
+    });
+    let (inbox, messages) = bounded(8);
+    let term = Arc::new(AtomicU64::new(1));
+    let reader = RecordReader {
+        store: StoreClient::new(address, 1),
+        inbox,
+        term: term.clone(),
+        token: 1,
+        epoch: Instant::now(),
+        report_interval: Duration::from_secs(1),
+    };
+    let thread = std::thread::spawn(move || reader.run());
+    let mut opened: Option<Vec<(OpenRecord, u64)>> = None;
+    for message in &messages {
+        match message {
+            Message::Loaded { records, .. } => assert_eq!(records.open.len(), LARGEST as usize),
+            Message::Opened(jobs) => opened = Some(jobs),
+            Message::RecordsRead { .. } => break,
+            _ => panic!("nothing else is read"),
+        }
+    }
+    assert_eq!(opened.map(|jobs| jobs.len()), Some(LARGEST as usize));
+    term.store(0, Ordering::Relaxed);
+    drop(messages);
+    thread.join().unwrap();
+}
+
+#[test]
+fn a_list_of_the_largest_fleet_is_read_to_its_end_though_pages_come_too_fast() {
+    let calls = AtomicUsize::new(0);
+    let address = standins::serve(move |_, url, _| {
+        // Every second call is one too many.
+        if calls.fetch_add(1, Ordering::Relaxed) % 2 == 1 {
+            return (429, json!({}));
+        }
+        let query = url.split_once('?').unwrap().1;
+        let after = query.split('&').find_map(|p| p.strip_prefix("after=m-"));
+        let first = after.map_or(0, |n| n.parse::<u32>().unwrap() + 1);
+        let last = (first + 500).min(LARGEST);
+        let machine = |i: u32| {
+            json!({"name_id": format!("m-{i:06}"), "endpoint": null, "hull": "m4", "berth": "z",
+                "driftwood": false, "status": "running", "age_s": 1.0})
+        };
+        let fleet: Vec<_> = (first..last).map(machine).collect();
+        (200, json!({"fleet": fleet, "truncated": last < LARGEST}))
+    });
+    let text = SETTINGS
+        .replace("127.0.0.1:3", &address.to_string())
+        .replace("rps = 10.0", "rps = 1000.0");
+    let settings = Settings::parse("test", &text).unwrap();
+    let listed = Cloud::new(&settings).list().unwrap();
+    let names: BTreeSet<&str> = listed.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!(names.len(), LARGEST as usize);
+}
+
+/// Sends a worker's report on a connection of its own; whether it was answered with 200.
+fn reports(address: SocketAddr, worker: u32) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return false;
+    };
+    let body = format!("{worker}");
+    let head = "POST /agent/beat HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
+    let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    let mut answer = String::new();
+    let sent = stream.write_all(request.as_bytes());
+    sent.is_ok() && stream.read_to_string(&mut answer).is_ok() && answer.starts_with("HTTP/1.1 200")
+}
+
+#[test]
+fn every_worker_of_the_largest_fleet_is_answered_with_far_fewer_sockets_than_machines() {
+    let heard = Arc::new(Mutex::new(BTreeSet::new()));
+    let runtime = Runtime::start().unwrap();
+    let noted = heard.clone();
+    let handler = move |call, respond: stairstage::transport::Respond| {
+        if let Call::Report(body) = call {
+            noted.lock().unwrap().insert(body);
+        }
+        respond(Reply::json(200, &()));
+    };
+    let bounds = Bounds {
+        connections: 64,
+        workers: 16,
+        users: 16,
+        idle: Duration::from_secs(600),
+        body: Duration::from_secs(600),
+    };
+    let any = "127.0.0.1:0".parse().unwrap();
+    let healthy = Arc::new(|| true);
+    let address = front::serve(&runtime, any, bounds, Arc::new(handler), healthy).unwrap();
+    // The first workers keep their connections open, so that their share is used up.
+    let idle: Vec<TcpStream> = (0..16)
+        .map(|_| TcpStream::connect(address).unwrap())
+        .collect();
+    let senders = 16;
+    std::thread::scope(|scope| {
+        for sender in 0..senders {
+            scope.spawn(move || {
+                for worker in (sender..LARGEST).step_by(senders as usize) {
+                    assert!(reports(address, worker), "worker {worker}");
+                }
+            });
+        }
+    });
+    drop(idle);
+    assert_eq!(heard.lock().unwrap().len(), LARGEST as usize);
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use common::full_fleet::*;
 use common::*;
 use stairstage::bookkeeping::records::OpenRecord;
-use stairstage::coordination::core::{Core, Effect, Ordered, Written};
+use stairstage::coordination::core::{Core, Effect};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
 use stairstage::transport::front::{self, Bounds};
@@ -15,60 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A leader of so many machines, each full of running tasks; how many changes at the state service
-/// it took to get there, and when that was.
-fn full_fleet(machines: u32) -> (Core, Vec<Vec<TaskReport>>, usize, f64) {
-    let mut core = core();
-    for i in 0..machines {
-        report_of(&mut core, &format!("m-{i}"), 1, None, Vec::new(), 0.0);
-    }
-    for i in 0..machines {
-        submit(
-            &mut core,
-            &format!("req-{i}"),
-            "sweep",
-            "normal",
-            None,
-            u64::from(i) + 1,
-        );
-    }
-    let mut tasks: Vec<Vec<TaskReport>> = vec![Vec::new(); machines as usize];
-    let mut changes = 0;
-    let mut now = 0.0;
-    while tasks.iter().map(Vec::len).sum::<usize>() < 4 * machines as usize {
-        now += 0.1;
-        carry_out_all(&mut core, now, |effect| match effect {
-            Effect::Write { transaction, .. } => changes += transaction.changes.len(),
-            Effect::Orders {
-                machine, orders, ..
-            } => {
-                let i: usize = machine[2..].parse().unwrap();
-                let started = starts(&orders.commands);
-                tasks[i].extend(shown(&started, TaskState::Running, None));
-            }
-            _ => {}
-        });
-        assert!(now < 600.0, "the fleet does not fill");
-    }
-    for (i, tasks) in tasks.iter().enumerate() {
-        report_of(&mut core, &format!("m-{i}"), 2, None, tasks.clone(), now);
-    }
-    core.step(now + 1.0);
-    core.take_effects();
-    (core, tasks, changes, now + 1.0)
-}
-
-fn effect_bytes(effect: &Effect) -> usize {
-    match effect {
-        Effect::Write { transaction, .. } => serde_json::to_vec(transaction).unwrap().len(),
-        Effect::Orders { orders, .. } => serde_json::to_vec(orders).unwrap().len(),
-        _ => 0,
-    }
-}
-
 #[test]
 fn a_launch_writes_no_more_in_a_large_fleet_than_a_record_holds() {
-    let (mut core, _, _, now) = full_fleet(2200);
+    let FullFleet { mut core, now, .. } = full_fleet(2200);
     report_of(&mut core, "m-new", 1, None, Vec::new(), now);
     submit(&mut core, "req-9999", "sweep", "normal", None, 9999);
     let (mut launched, mut most) = (0, 0);
@@ -86,27 +36,16 @@
     assert!(most > 0 && most < 17 * 1024, "{most} bytes");
 }
 
-/// Like `carry_out`, but shows every effect.
-fn carry_out_all(core: &mut Core, now: f64, mut show: impl FnMut(&Effect)) {
-    each_effect(core, now, |core, effect| {
-        show(&effect);
-        match effect {
-            Effect::Write { id, .. } => core.written(id, Written::Applied(100 + id), now),
-            // Its answer shows nothing that is not known.
-            Effect::Orders { machine, .. } => {
-                let known = worker_report(&machine, 0, 1, Vec::new());
-                core.ordered(&machine, Ordered::Executed(known), now);
-            }
-            _ => {}
-        }
-    });
-}
-
 #[test]
 fn a_report_without_news_costs_the_same_in_any_fleet() {
     // Looks at machines and places, and bytes of what is answered and sent.
     let cost = |machines: u32| {
-        let (mut core, tasks, _, now) = full_fleet(machines);
+        let FullFleet {
+            mut core,
+            tasks,
+            now,
+            ..
+        } = full_fleet(machines);
         let before = core.looks();
         let mut bytes = 0;
         for seq in 0..20 {
@@ -124,7 +63,12 @@
 
 #[test]
 fn passes_are_paced_by_what_they_take() {
-    let (mut core, mut tasks, _, begun) = full_fleet(20);
+    let FullFleet {
+        mut core,
+        mut tasks,
+        now: begun,
+        ..
+    } = full_fleet(20);
     let mut passes = 0;
     for i in 0..200u32 {
         // A task ends at each step, so that there is always something to decide.
@@ -157,7 +101,7 @@
 
 #[test]
 fn launches_of_many_jobs_share_the_changes_of_their_records() {
-    let (_, _, changes, _) = full_fleet(120);
+    let changes = full_fleet(120).changes;
     assert!(changes <= 30, "{changes} changes for 120 jobs");
 }
 
--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,211 @@
+//! What a leader concludes from the silence of one machine, of many, or of all.
+
+mod common;
+
+use common::*;
+use stairstage::bookkeeping::records::OpenRecord;
+use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome};
+use stairstage::coordination::reports::ReportSource;
+use stairstage::protocol::worker::*;
+use std::collections::BTreeMap;
+
+/// A leader of forty machines, each with a running task, that report one after the other; what
+/// each of them runs.
+fn forty_machines() -> (Core, BTreeMap<String, Vec<TaskReport>>) {
+    let mut core = core();
+    let mut tasks: BTreeMap<String, Vec<TaskReport>> = BTreeMap::new();
+    for i in 0..40 {
+        let id = format!("req-{i}");
+        submit(&mut core, &id, "sweep", "normal", None, i + 1);
+    }
+    for i in 0..40 {
+        answered(
+            &mut core,
+            &worker_report(&machine_name(i), 1, 1, vec![]),
+            0.0,
+        );
+    }
+    carry_out(&mut core, 0.0, |core, effect| {
+        if let Effect::Orders {
+            machine, orders, ..
+        } = effect
+        {
+            let here = tasks.entry(machine.to_string()).or_default();
+            here.extend(shown(&starts(&orders.commands), TaskState::Running, None));
+            let report = worker_report(&machine, 2, 1, here.clone());
+            core.ordered(&machine, Ordered::Executed(report), 0.0);
+        }
+    });
+    (core, tasks)
+}
+
+fn machine_name(i: u64) -> String {
+    format!("m-{i:02}")
+}
+
+/// Lets machines report every two seconds, one after the other, from one time to another. Returns
+/// those that were given back.
+fn beats(
+    core: &mut Core,
+    tasks: &BTreeMap<String, Vec<TaskReport>>,
+    reporting: std::ops::Range<u64>,
+    seconds: std::ops::Range<u64>,
+) -> Vec<String> {
+    let mut returned = Vec::new();
+    for step in seconds.start * 20..seconds.end * 20 {
+        let (now, i) = (step as f64 / 20.0, step % 40);
+        if reporting.contains(&i) {
+            let name = machine_name(i);
+            let report = worker_report(&name, 3 + step, 1, tasks[&name].clone());
+            core.report(&report, now);
+        }
+        if step % 20 == 0 {
+            returned.extend(out_of_reach(core, now).1);
+        }
+    }
+    returned
+}
+
+#[test]
+fn a_leader_that_hears_no_worker_at_all_gives_back_none() {
+    // What is missing is its own network: the reports of many machines leave no gap by chance.
+    let (mut core, tasks) = forty_machines();
+    assert!(beats(&mut core, &tasks, 0..40, 1..5).is_empty());
+    assert!(beats(&mut core, &tasks, 0..0, 5..10).is_empty(), "cut off");
+    // Those that are heard first make the others no more silent than they were.
+    assert!(beats(&mut core, &tasks, 0..30, 10..12).is_empty(), "back");
+    let returned = beats(&mut core, &tasks, 0..30, 12..20);
+    assert_eq!(returned, (30..40).map(machine_name).collect::<Vec<_>>());
+    // Nor does it keep what is gone for ever.
+    let returned = beats(&mut core, &tasks, 0..0, 20..50);
+    assert_eq!(returned.len(), 30, "after a lease, and the silence");
+}
+
+/// Carries effects out; direct commands go unanswered by some machines, and wait at the others.
+/// Returns which machines were sent any.
+fn some_mute(core: &mut Core, mute: std::ops::Range<u64>, now: f64) -> Vec<String> {
+    let mut commanded = Vec::new();
+    carry_out(core, now, |core, effect| {
+        if let Effect::Orders {
+            machine, orders, ..
+        } = effect
+        {
+            if !orders.commands.is_empty() {
+                commanded.push(machine.to_string());
+            }
+            if mute.clone().any(|i| *machine == machine_name(i)) {
+                core.ordered(&machine, Ordered::Unknown, now);
+            }
+        }
+    });
+    commanded
+}
+
+#[test]
+fn while_machines_fall_together_replicas_go_where_a_report_has_come_since() {
+    let (mut core, tasks) = forty_machines();
+    // The last to report comes first by name, so that it would be chosen among equals.
+    let beat = |core: &mut Core, step: u64, reporting: std::ops::Range<u64>| {
+        let i = step % 40;
+        let number = if i % 2 == 1 { 19 - i / 2 } else { 20 + i / 2 };
+        let name = machine_name(number);
+        let report = worker_report(&name, 3 + step, 1, tasks[&name].clone());
+        if reporting.contains(&number) {
+            core.report(&report, step as f64 / 20.0);
+        }
+        some_mute(core, 0..20, step as f64 / 20.0);
+    };
+    for step in 20..120 {
+        beat(&mut core, step, 0..40);
+    }
+    // The first twenty by name fall silent. Those whose reports are late are asked, in vain; others
+    // are not late yet, though they have fallen as well.
+    for step in 120..164 {
+        beat(&mut core, step, 20..40);
+    }
+    submit(&mut core, "req-900", "standing", "critical", None, 900);
+    let gone_to = some_mute(&mut core, 0..20, 8.2);
+    assert!(!gone_to.is_empty());
+    let fallen: Vec<_> = (0..20).map(machine_name).collect();
+    assert!(gone_to.iter().all(|m| !fallen.contains(m)), "{gone_to:?}");
+}
+
+#[test]
+fn a_machine_that_leaves_a_command_unanswered_gets_nothing_new_until_it_is_heard() {
+    let mut core = core();
+    let two_tasks = |core: &mut Core, id: &str, seq: u64| {
+        let spec = parsed(&submission(id, "sweep", "normal", 2));
+        let record = OpenRecord::accepted(spec, 0);
+        core.job_opened(record, seq, 0, 0.0);
+    };
+    answered(&mut core, &worker_report("m-1", 1, 1, vec![]), 0.0);
+    two_tasks(&mut core, "req-1", 1);
+    assert_eq!(out_of_reach(&mut core, 0.0).0.len(), 2);
+    two_tasks(&mut core, "req-2", 2);
+    out_of_reach(&mut core, 0.5);
+    assert_eq!(core.status("req-2").unwrap().running, 0);
+    let answer = answered(&mut core, &worker_report("m-1", 2, 1, vec![]), 1.0);
+    assert_eq!(answer.len(), 2, "only what was sent before: {answer:?}");
+    let (launched, _) = out_of_reach(&mut core, 1.1);
+    assert_eq!(launched, ["req-2/0", "req-2/1"]);
+}
+
+/// Lets machines report through another controller, as `beats` does directly.
+fn beats_through_a_peer(
+    core: &mut Core,
+    tasks: &BTreeMap<String, Vec<TaskReport>>,
+    reporting: std::ops::Range<u64>,
+    seconds: std::ops::Range<u64>,
+) -> Vec<String> {
+    let mut returned = Vec::new();
+    for step in seconds.start * 20..seconds.end * 20 {
+        let (now, i) = (step as f64 / 20.0, step % 40);
+        if reporting.contains(&i) {
+            let name = machine_name(i);
+            let report = worker_report(&name, 3 + step, 1, tasks[&name].clone());
+            let outcome = core.report_from(ReportSource::Peer, &report, now);
+            assert!(matches!(outcome, ReportOutcome::Answer(_)), "{outcome:?}");
+        }
+        if step % 20 == 0 {
+            returned.extend(out_of_reach(core, now).1);
+        }
+    }
+    returned
+}
+
+#[test]
+fn reports_that_peers_pass_on_make_no_other_machine_silent() {
+    let (mut core, tasks) = forty_machines();
+    assert!(beats(&mut core, &tasks, 0..40, 1..5).is_empty());
+    // Workers that reach no leader come to other controllers one after the other. Those that have not
+    // got there yet are no more silent than the others, and fewer than half.
+    let returned = beats_through_a_peer(&mut core, &tasks, 0..25, 5..16);
+    assert!(returned.is_empty(), "{returned:?}");
+    // Once workers report here again, what stays silent is.
+    assert!(beats(&mut core, &tasks, 0..25, 16..18).is_empty());
+    let returned = beats(&mut core, &tasks, 0..25, 18..28);
+    assert_eq!(returned, (25..40).map(machine_name).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_leader_of_many_workers_that_hears_none_of_them_notices_within_a_fraction_of_an_interval() {
+    let (mut core, tasks) = forty_machines();
+    beats(&mut core, &tasks, 0..40, 1..5);
+    // Forty machines that report every two seconds leave gaps of half a second at the most.
+    assert!(!core.hears_no_worker(5.7));
+    assert!(core.hears_no_worker(6.1));
+    // What peers pass on says nothing of this node's own network.
+    beats_through_a_peer(&mut core, &tasks, 0..40, 6..7);
+    assert!(core.hears_no_worker(7.0));
+    beats(&mut core, &tasks, 0..40, 7..8);
+    assert!(!core.hears_no_worker(8.0));
+}
+
+#[test]
+fn workers_have_a_whole_interval_to_find_a_new_leader() {
+    let mut core = core();
+    let report = worker_report("m-1", 1, 1, Vec::new());
+    core.report_from(ReportSource::Peer, &report, 0.5);
+    assert!(!core.hears_no_worker(2.5));
+    assert!(core.hears_no_worker(2.7));
+}
