Settings whose leases end between two reports, or outlast cancellations, end the program

Need: a lease that is not longer than the longest report interval ends between two reports; one that is not shorter than cancel_s can never be renewed. Both were taken and the service ran without effect.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -14,7 +14,7 @@
 use crate::protocol::job::JobState;
 use crate::protocol::store::{Item, Transaction};
 use crate::protocol::worker::*;
-use crate::settings::{Settings, Team};
+use crate::settings::{Settings, Team, LONGEST_REPORT_INTERVAL};
 use serde_json::Value;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -187,8 +187,6 @@
 /// as the mean time between two reports, but never when shorter than this share of an interval.
 const GAP_REPORTS: f64 = 8.0;
 const LEAST_GAP: f64 = 0.25;
-/// A worker reports after so many report intervals at the latest.
-pub(super) const LONGEST_INTERVAL: f64 = 1.25;
 /// Steady clocks of different machines may differ by this much.
 pub(super) const DRIFT: f64 = 1.001;
 /// Seconds between passes while nothing is known to have changed, and between checks of leases.
@@ -309,7 +307,7 @@
         if gap > self.silence_of_all_s() {
             self.gap_ended = now;
         }
-        if gap > LONGEST_INTERVAL * self.settings.cluster.workers.report_s {
+        if gap > LONGEST_REPORT_INTERVAL * self.settings.cluster.workers.report_s {
             self.hears_since = now;
         }
         self.last_heard = now;
--- a/src/coordination/redirects.rs
+++ b/src/coordination/redirects.rs
@@ -1,8 +1,8 @@
 //! Where a follower sends the reports of workers that come to it.
 
-use super::core::{LONGEST_INTERVAL, WORKER_PATIENCE_S, WORKER_RETRY_S};
+use super::core::{WORKER_PATIENCE_S, WORKER_RETRY_S};
 use super::Time;
-use crate::settings::Workers;
+use crate::settings::{Workers, LONGEST_REPORT_INTERVAL};
 use std::collections::HashMap;
 
 /// A worker that comes back so often has not got through to the leader.
@@ -40,7 +40,7 @@
 
 impl Redirects {
     pub fn new(workers: &Workers) -> Redirects {
-        let lost_s = 2.0 * LOST_AT_A_NODE_S + LONGEST_INTERVAL * workers.report_s;
+        let lost_s = 2.0 * LOST_AT_A_NODE_S + LONGEST_REPORT_INTERVAL * workers.report_s;
         Redirects {
             visits: HashMap::new(),
             recent_s: (RECENT_REPORTS * workers.report_s).max(2.0 * LOST_AT_A_NODE_S),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -132,6 +132,9 @@
     pub limits: Limits,
 }
 
+/// A worker reports after so many report intervals at the latest.
+pub const LONGEST_REPORT_INTERVAL: f64 = 1.25;
+
 /// A transaction must take at least so many changes, and as many times more conditions.
 const LEAST_CHANGES: usize = 4;
 
@@ -230,6 +233,21 @@
                 return invalid(field, value.to_string(), "must be above 0");
             }
         }
+        let w = &c.workers;
+        if w.lease_s <= LONGEST_REPORT_INTERVAL * w.report_s {
+            return invalid(
+                "settings.workers.lease_s",
+                w.lease_s.to_string(),
+                "must outlast the longest time between two reports, 1.25 times report_s",
+            );
+        }
+        if w.cancel_s <= w.lease_s {
+            return invalid(
+                "settings.workers.cancel_s",
+                w.cancel_s.to_string(),
+                "must be longer than lease_s: a worker that is out of reach goes on until its lease ends",
+            );
+        }
         let lag = c.cloud.list_lag_s;
         if !lag.is_finite() || lag < 0.0 {
             return invalid(
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -133,6 +133,16 @@
             "report_s = 0.0",
             "settings.workers.report_s = 0",
         ),
+        (
+            "report_s = 3.0",
+            "report_s = 30.0",
+            "settings.workers.lease_s = ",
+        ),
+        (
+            "cancel_s = 59.0",
+            "cancel_s = 20.0",
+            "settings.workers.cancel_s = 20",
+        ),
         (
             "write_rps = 60.0",
             "write_rps = -1.0",
