A job that has failed wherever it ran is tried with one task after each pause; names, one constant

Cause: a job that was submitted with a mistake launched all of its tasks that found room after every pause, until its user cancelled it: each cost a fetch, a launch and a share of a record.

Change: after a pause, and until it completes a task, it runs one task at a time for 18 s (0.2 of the 90 s for which no job waits beside room); then it gets its machines as before, as it may have met faulty ones.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -183,6 +183,8 @@
 /// A worker gives up on an answer after this time and on a node after one second more.
 pub(super) const WORKER_PATIENCE_S: f64 = 4.0;
 pub(super) const WORKER_RETRY_S: f64 = 1.0;
+/// What a worker loses at a node that does not answer.
+pub(super) const LOST_AT_A_NODE_S: f64 = WORKER_PATIENCE_S + WORKER_RETRY_S;
 /// A gap in all workers' reports shows that this node is cut off when it is so many times as long
 /// as the mean time between two reports, but never when shorter than this share of an interval.
 const GAP_REPORTS: f64 = 8.0;
@@ -288,7 +290,7 @@
 
     pub(super) fn silence_s(&self) -> f64 {
         let report_s = self.settings.cluster.workers.report_s;
-        let patience = WORKER_PATIENCE_S + WORKER_RETRY_S + report_s;
+        let patience = LOST_AT_A_NODE_S + report_s;
         (self.settings.policy.silence * report_s).max(patience)
     }
 
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -246,6 +246,13 @@
                 _ => Ok(()),
             };
         }
+        let most = match job.is_on_trial(pass.now) {
+            true => most.min(1_usize.saturating_sub(job.live as usize)),
+            false => most,
+        };
+        if most == 0 {
+            return Ok(());
+        }
         let rooms = pass.rooms_for(job)?;
         let held = match rooms.is_empty() {
             true => None,
--- a/src/coordination/redirects.rs
+++ b/src/coordination/redirects.rs
@@ -1,6 +1,6 @@
 //! Where a follower sends the reports of workers that come to it.
 
-use super::core::{WORKER_PATIENCE_S, WORKER_RETRY_S};
+use super::core::LOST_AT_A_NODE_S;
 use super::Time;
 use crate::settings::{Workers, LONGEST_REPORT_INTERVAL};
 use std::collections::HashMap;
@@ -9,8 +9,6 @@
 const MOST_REDIRECTS: u32 = 3;
 /// Report intervals after which a worker that came back is a new one.
 const RECENT_REPORTS: f64 = 4.0;
-/// What a worker loses at a node that does not answer.
-const LOST_AT_A_NODE_S: Time = WORKER_PATIENCE_S + WORKER_RETRY_S;
 
 /// How a follower treats a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -14,6 +14,10 @@
 /// The users' check: no job waits for this long while a machine that fits has room.
 pub(in crate::coordination) const WAITS_WITH_ROOM_S: f64 = 90.0;
 
+/// The share of that time for which a job that has failed wherever it ran, and completed nothing, runs
+/// one task at a time after a pause: it may have been submitted with a mistake.
+const TRIAL_SHARE: f64 = 0.2;
+
 /// An open job, or one that has ended and of which a machine may still hold a task.
 pub struct Job {
     pub spec: Arc<JobSpec>,
@@ -121,6 +125,12 @@
         self.live == 0 && self.unplaced_count() > 0 && now - since > BEGINS_WITHIN_S * OVERDUE_SHARE
     }
 
+    /// Whether it runs one task at a time, to show whether it fails again.
+    pub fn is_on_trial(&self, now: Time) -> bool {
+        let failed = self.setbacks > 0 && self.done == 0;
+        failed && now < self.retry_at + TRIAL_SHARE * WAITS_WITH_ROOM_S
+    }
+
     /// The processor seconds that are left, by its prediction; what runs is half done on average.
     pub fn work_left(&self) -> f64 {
         let tasks = f64::from(self.unplaced_count()) + f64::from(self.live) / 2.0;
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -102,9 +102,9 @@
         true
     }
 
-    /// A placement_record's record, with the planned places that it makes known. As many jobs' as a transaction
-    /// has conditions for; the others wait for the next.
-    fn placement_record_record(
+    /// What a record of places tells when it is written, with the planned places that it makes known: as
+    /// many jobs' as a transaction has conditions for; the others wait for the next.
+    fn placement_value(
         &self,
         placement_record: usize,
         most_jobs: usize,
@@ -156,7 +156,7 @@
         };
         // Two conditions are about the leader and the record itself.
         let most_jobs = CONDITIONS_A_CHANGE * self.most_changes - 2;
-        let (record, sent) = self.placement_record_record(i, most_jobs);
+        let (record, sent) = self.placement_value(i, most_jobs);
         let value = serde_json::to_value(&record).expect("plain data");
         let mut txn = self
             .begin()
@@ -191,7 +191,7 @@
         self.budget.level(now) < self.budget.burst() / 2.0
     }
 
-    fn completion_record_record(&self, job: &Job, completion_record: usize) -> RunRecord {
+    fn completion_value(&self, job: &Job, completion_record: usize) -> RunRecord {
         let mut record = RunRecord::default();
         let first = completion_record * self.cut.tasks;
         let last = (first + self.cut.tasks).min(job.tasks.len());
@@ -240,8 +240,7 @@
                 later.push((since, id, i));
                 continue;
             }
-            let value =
-                serde_json::to_value(self.completion_record_record(job, i)).expect("plain data");
+            let value = serde_json::to_value(self.completion_value(job, i)).expect("plain data");
             bytes += value.to_string().len();
             let key = run_key(&id, self.cut.number(i));
             txn = txn
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -50,6 +50,17 @@
     tasks: &BTreeMap<String, Vec<TaskReport>>,
     reporting: std::ops::Range<u64>,
     seconds: std::ops::Range<u64>,
+) -> Vec<String> {
+    beats_from(ReportSource::Worker, core, tasks, reporting, seconds)
+}
+
+/// The same for reports that come here in such a way.
+fn beats_from(
+    source: ReportSource,
+    core: &mut Core,
+    tasks: &BTreeMap<String, Vec<TaskReport>>,
+    reporting: std::ops::Range<u64>,
+    seconds: std::ops::Range<u64>,
 ) -> Vec<String> {
     let mut returned = Vec::new();
     for step in seconds.start * 20..seconds.end * 20 {
@@ -57,7 +68,8 @@
         if reporting.contains(&i) {
             let name = machine_name(i);
             let report = worker_report(&name, 3 + step, 1, tasks[&name].clone());
-            core.report(&report, now);
+            let outcome = core.report_from(source, &report, now);
+            assert!(matches!(outcome, ReportOutcome::Answer(_)), "{outcome:?}");
         }
         if step % 20 == 0 {
             returned.extend(out_of_reach(core, now).1);
@@ -150,36 +162,13 @@
     assert_eq!(launched, ["req-2/0", "req-2/1"]);
 }
 
-/// Lets machines report through another controller, as `beats` does directly.
-fn beats_through_a_peer(
-    core: &mut Core,
-    tasks: &BTreeMap<String, Vec<TaskReport>>,
-    reporting: std::ops::Range<u64>,
-    seconds: std::ops::Range<u64>,
-) -> Vec<String> {
-    let mut returned = Vec::new();
-    for step in seconds.start * 20..seconds.end * 20 {
-        let (now, i) = (step as f64 / 20.0, step % 40);
-        if reporting.contains(&i) {
-            let name = machine_name(i);
-            let report = worker_report(&name, 3 + step, 1, tasks[&name].clone());
-            let outcome = core.report_from(ReportSource::Peer, &report, now);
-            assert!(matches!(outcome, ReportOutcome::Answer(_)), "{outcome:?}");
-        }
-        if step % 20 == 0 {
-            returned.extend(out_of_reach(core, now).1);
-        }
-    }
-    returned
-}
-
 #[test]
 fn reports_that_peers_pass_on_make_no_other_machine_silent() {
     let (mut core, tasks) = forty_machines();
     assert!(beats(&mut core, &tasks, 0..40, 1..5).is_empty());
     // Workers that reach no leader come to other controllers one after the other. Those that have not
     // got there yet are no more silent than the others, and fewer than half.
-    let returned = beats_through_a_peer(&mut core, &tasks, 0..25, 5..16);
+    let returned = beats_from(ReportSource::Peer, &mut core, &tasks, 0..25, 5..16);
     assert!(returned.is_empty(), "{returned:?}");
     // Once workers report here again, what stays silent is.
     assert!(beats(&mut core, &tasks, 0..25, 16..18).is_empty());
@@ -195,7 +184,7 @@
     assert!(!core.hears_no_worker(5.7));
     assert!(core.hears_no_worker(6.1));
     // What peers pass on says nothing of this node's own network.
-    beats_through_a_peer(&mut core, &tasks, 0..40, 6..7);
+    beats_from(ReportSource::Peer, &mut core, &tasks, 0..40, 6..7);
     assert!(core.hears_no_worker(7.0));
     beats(&mut core, &tasks, 0..40, 7..8);
     assert!(!core.hears_no_worker(8.0));
