A leader asks its peers early only once most machines know it; write-ups of four incidents

Cause: the first workers that came to a new leader counted as all of them.

Change: the short patience holds once nine tenths of the machines have shown the leader's token. Before, it is a whole interval, as it always was. tests/silence.rs has the case.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -155,8 +155,10 @@
     pub(super) launched: bool,
     /// When every other controller had promised to answer no report with a lower token.
     pub(super) promised: Option<Time>,
-    /// How many machines are up, and when any was last heard.
+    /// How many machines are up, whether most of them have ever known this leader's token, and when any
+    /// was last heard.
     pub(super) up: usize,
+    pub(super) known_to_most: bool,
     pub(super) last_heard: Time,
     /// When a worker last reported to this node itself, in this term.
     pub(super) reported_here: Option<Time>,
@@ -242,6 +244,7 @@
             launched: false,
             promised: None,
             up: 0,
+            known_to_most: false,
             last_heard: now,
             reported_here: None,
             gap_ended: now,
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -23,10 +23,11 @@
 const LATE_REPORTS: f64 = 1.15;
 const SUSPECT_REPORTS: f64 = 1.3;
 /// Report intervals without a report of any worker to this node itself after which its own network may
-/// be at fault; for a leader to which workers have reported, at the latest after so many times as long
-/// as chance explains.
+/// be at fault; for a leader that most machines know, at the latest after so many times as long as chance
+/// explains. Before, workers may still wait for an answer of the former leader.
 const UNHEARD_REPORTS: f64 = 1.3;
 const UNHEARD_GAPS: f64 = 2.0;
+const KNOWN_SHARE: f64 = 0.9;
 /// Machines that leave commands unanswered when many fail together: more than this share of the fleet,
 /// and than so many.
 const MASS_FAILURE_SHARE: f64 = 0.02;
@@ -162,11 +163,12 @@
     /// at fault. Many workers leave short gaps only, once they have found this leader.
     pub fn hears_no_worker(&self, now: Time) -> bool {
         let interval_s = UNHEARD_REPORTS * self.settings.cluster.workers.report_s;
-        let unheard = match self.reported_here {
-            Some(last) => now - last > interval_s.min(UNHEARD_GAPS * self.silence_of_all_s()),
-            None => now - self.leads_since > interval_s,
+        let patience_s = match self.known_to_most {
+            true => interval_s.min(UNHEARD_GAPS * self.silence_of_all_s()),
+            false => interval_s,
         };
-        unheard && !self.machines.is_empty()
+        let last = self.reported_here.unwrap_or(self.leads_since);
+        now - last > patience_s && !self.machines.is_empty()
     }
 
     /// Since when a machine has left a command unanswered, if not for a fault of our own network.
@@ -174,17 +176,20 @@
         m.unanswered.filter(|t| *t > self.gap_ended)
     }
 
-    /// Notes how many machines are up, and since when many of them have left commands unanswered.
+    /// Notes how many machines are up, whether most know this leader's token, and since when many have
+    /// left commands unanswered.
     fn note_mass_failure(&mut self, now: Time) {
-        let (mut up, mut unanswered, mut first) = (0, 0, now);
+        let (mut up, mut known, mut unanswered, mut first) = (0, 0, 0, now);
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             up += 1;
+            known += usize::from(m.token >= self.first_token);
             if let Some(since) = self.unanswered_since(m) {
                 unanswered += 1;
                 first = first.min(since);
             }
         }
         self.up = up;
+        self.known_to_most |= up > 0 && known as f64 >= KNOWN_SHARE * up as f64;
         let many = MASS_FAILURE_LEAST.max((MASS_FAILURE_SHARE * up as f64) as usize);
         let since = self.mass_failure_since.unwrap_or(first);
         self.mass_failure_since = (unanswered > many).then_some(since);
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -190,6 +190,21 @@
     assert!(!core.hears_no_worker(8.0));
 }
 
+#[test]
+fn a_leader_that_few_workers_know_yet_waits_a_whole_interval_for_the_others() {
+    // Thirty of forty wait for the former leader's answer, and come together some seconds later.
+    let (_, tasks) = forty_machines();
+    let mut core = core_with_token(100);
+    for (i, machine) in tasks.keys().enumerate() {
+        let token = if i < 10 { 100 } else { 1 };
+        let report = worker_report(machine, 5, token, tasks[machine].clone());
+        answered(&mut core, &report, 0.01 * i as f64);
+    }
+    out_of_reach(&mut core, 1.0);
+    assert!(!core.hears_no_worker(2.5), "only ten are known to know it");
+    assert!(core.hears_no_worker(3.1), "a whole interval has passed");
+}
+
 #[test]
 fn workers_have_a_whole_interval_to_find_a_new_leader() {
     let mut core = core();
