--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -134,7 +134,7 @@
     /// Looks after machines that are silent, failed or never came up.
     pub(super) fn check_machines(&mut self, now: Time) {
         let cut_off = now - self.last_heard > self.silence_of_all_s();
-        self.note_mass_failure(now);
+        self.survey_machines(now);
         self.return_silent(cut_off, now);
         self.return_unusable(now);
         self.send_returns();
@@ -178,7 +178,7 @@
 
     /// Notes how many machines are up, whether most know this leader's token, and since when many have
     /// left commands unanswered.
-    fn note_mass_failure(&mut self, now: Time) {
+    fn survey_machines(&mut self, now: Time) {
         let (mut up, mut known, mut unanswered, mut first) = (0, 0, 0, now);
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             up += 1;
