--- /dev/null
+++ b/tests/play/simulation/machines.rs
@@ -0,0 +1,193 @@
+//! Machines and their workers: what they run, report and are told.
+
+use super::Simulation;
+use crate::worker::Worker;
+use stairstage::coordination::core::ReportOutcome;
+use stairstage::protocol::cloud::{ListedMachine, MachineState};
+use stairstage::protocol::job::parse_task;
+use stairstage::protocol::worker::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Seconds between two looks at the cloud's list.
+const LIST_S: f64 = 5.0;
+
+impl Simulation {
+    /// Adds machines that are up already; returns their names.
+    pub fn add_machines(&mut self, zone: &str, count: usize) -> Vec<String> {
+        let now = self.now;
+        (0..count).map(|_| self.add_machine(zone, now)).collect()
+    }
+
+    pub(super) fn add_machine(&mut self, zone: &str, up_s: f64) -> String {
+        let name = format!("m-{:06}", self.rented);
+        self.rented += 1;
+        let kind = &self.types[0];
+        let worker = Worker::new(name.clone(), &kind.name, zone, kind.cpus, self.now, up_s);
+        self.workers.insert(name.clone(), worker);
+        name
+    }
+
+    pub(super) fn advance_workers(&mut self) {
+        let (now, lease_s) = (self.now, self.settings.cluster.workers.lease_s);
+        for worker in self.workers.values_mut() {
+            worker.expire(lease_s, now);
+            let keys: Vec<(String, u64)> = worker.live().map(|(key, _)| key.clone()).collect();
+            for key in keys {
+                let plan = &self.outcomes[parse_task(&key.0).unwrap().0].plan;
+                worker.advance(&key, plan, now);
+            }
+        }
+        self.advance_gangs();
+    }
+
+    /// The tasks of a gang start together, complete together, and exit when one is gone.
+    pub(super) fn advance_gangs(&mut self) {
+        let mut gangs: BTreeMap<(String, u64), Vec<TaskState>> = BTreeMap::new();
+        let mut done: BTreeSet<(String, u64)> = BTreeSet::new();
+        for worker in self.workers.values() {
+            for ((task, attempt), t) in worker.tasks.iter().filter(|(_, t)| t.gang) {
+                let gang = (parse_task(task).unwrap().0.to_string(), *attempt);
+                match t.cause {
+                    Some(Cause::Done) => drop(done.insert(gang)),
+                    Some(_) => {}
+                    None => gangs.entry(gang).or_default().push(t.state),
+                }
+            }
+        }
+        let (now, wait_s) = (self.now, self.settings.cluster.workers.gang_wait_s);
+        for (gang, states) in gangs {
+            let plan = self.outcomes[&gang.0].plan.clone();
+            let whole = states.len() == plan.tasks as usize;
+            let ready = states.iter().all(|s| *s == TaskState::Waiting);
+            let runs = states.contains(&TaskState::Running);
+            for t in self.of_gang(&gang) {
+                if done.contains(&gang) {
+                    t.exit(Cause::Done);
+                } else if whole && ready {
+                    t.state = TaskState::Running;
+                    t.until = now + plan.run_s;
+                } else if runs && !whole {
+                    t.exit(Cause::Peers);
+                } else if t.state == TaskState::Waiting && now > t.until - plan.run_s + wait_s {
+                    t.exit(Cause::Alone);
+                }
+            }
+        }
+    }
+
+    pub(super) fn of_gang<'a>(
+        &'a mut self,
+        gang: &'a (String, u64),
+    ) -> impl Iterator<Item = &'a mut crate::worker::OnWorker> + 'a {
+        let tasks = self.workers.values_mut().flat_map(|w| w.tasks.iter_mut());
+        tasks.filter_map(move |((task, attempt), t)| {
+            let same = parse_task(task).unwrap().0 == gang.0 && *attempt == gang.1;
+            (same && t.is_live()).then_some(t)
+        })
+    }
+
+    pub(super) fn report_all(&mut self) {
+        let now = self.now;
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let worker = self.workers.get_mut(&name).unwrap();
+            let Some(core) = self.leader.as_mut().filter(|_| worker.is_heard(now)) else {
+                continue;
+            };
+            let heard = core.report(&worker.report(), now);
+            let in_time = !self.random.chance(self.slow_links);
+            if let ReportOutcome::Answer(answer) = heard {
+                if in_time && worker.hears(now) && worker.take_answer(&answer, now) {
+                    self.obey(&name, &answer.commands);
+                }
+            }
+        }
+    }
+
+    pub(super) fn obey(&mut self, name: &str, commands: &[Command]) {
+        for command in commands {
+            let (Command::Start { task, .. }
+            | Command::Stop { task, .. }
+            | Command::Forget { task, .. }) = command;
+            let (id, _) = parse_task(task).unwrap();
+            let outcome = self.outcomes.get_mut(id).expect("a job of this day");
+            let worker = self.workers.get_mut(name).unwrap();
+            let started = worker.obey(command, &outcome.plan, self.now);
+            if let Some(task) = started {
+                outcome.began.get_or_insert(self.now);
+                self.check_start(name, &task);
+            }
+        }
+    }
+
+    /// A task has started: it runs once, where it may, and its team is within its limit.
+    pub(super) fn check_start(&self, name: &str, task: &str) {
+        let (id, _) = parse_task(task).unwrap();
+        let outcome = &self.outcomes[id];
+        let others = self.workers.values().filter(|w| w.name != name);
+        let twice = others
+            .flat_map(Worker::live)
+            .any(|((other, _), _)| other == task);
+        assert!(!twice, "ran_twice: {task} starts on {name}");
+        let zone = &self.workers[name].zone;
+        let allowed = outcome.plan.zone.is_none_or(|z| z == zone);
+        assert!(allowed, "wrong_place: {task} starts in {zone}");
+        let cancel_s = self.settings.cluster.workers.cancel_s;
+        let late = outcome.cancelled.is_some_and(|t| self.now - t > cancel_s);
+        assert!(!late, "ran_cancelled: {task}");
+        let limit = self.limit(outcome.plan.team);
+        let used = self.team_use().remove(outcome.plan.team).unwrap_or(0.0);
+        assert!(used <= limit + 1e-6, "quota: {used} of {limit} CPUs");
+    }
+
+    pub(super) fn limit(&self, team: &str) -> f64 {
+        match self.settings.team(team).expect("a known team").cpus_max {
+            limit if limit > 0.0 => limit,
+            _ => f64::INFINITY,
+        }
+    }
+
+    pub(super) fn team_use(&self) -> HashMap<&str, f64> {
+        let mut team_use: HashMap<&str, f64> = HashMap::new();
+        for ((task, _), t) in self.workers.values().flat_map(Worker::live) {
+            let id = parse_task(task).unwrap().0;
+            *team_use.entry(self.outcomes[id].plan.team).or_default() += t.cpus;
+        }
+        team_use
+    }
+
+    pub(super) fn list_machines(&mut self) {
+        if self.now - self.listed < LIST_S {
+            return;
+        }
+        self.listed = self.now;
+        let list: Vec<ListedMachine> = self.workers.values().map(|w| self.listing(w)).collect();
+        if let Some(core) = &mut self.leader {
+            core.listed(&list, self.now);
+        }
+    }
+
+    pub(super) fn listing(&self, worker: &Worker) -> ListedMachine {
+        ListedMachine {
+            name: worker.name.clone(),
+            endpoint: Some("127.0.0.1:9".into()),
+            kind: worker.kind.clone(),
+            zone: worker.zone.clone(),
+            spot: false,
+            state: match worker.is_up(self.now) {
+                true => MachineState::Running,
+                false => MachineState::Booting,
+            },
+            age_s: self.now - worker.rented_s,
+        }
+    }
+
+    pub(super) fn rent(&mut self, zone: &str, count: usize) -> Vec<String> {
+        let there = self.workers.values().filter(|w| w.zone == zone).count();
+        let free = self.cloud.most_in_zone.saturating_sub(there);
+        let gives = self.cloud.rents && self.cloud.sold_out != Some(zone);
+        let count = if gives { count.min(free) } else { 0 };
+        let up_s = self.now + self.cloud.boot_s;
+        (0..count).map(|_| self.add_machine(zone, up_s)).collect()
+    }
+}
