--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,7 @@
 //! Elections of several nodes in virtual time: generated schedules of troubles, and combinations of
 //! troubles by name.
 
-#[path = "common/election_cluster.rs"]
+#[path = "common/election_cluster/mod.rs"]
 mod election_cluster;
 #[path = "common/lease_store.rs"]
 mod lease_store;
