--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -12,7 +12,10 @@
 use std::time::{Duration, Instant};
 use tiny_http::{Method, Request, Response, Server};
 
-/// Keys with values, versions and leases; what the protocol says of them, without limits.
+/// Keys in one page of a list at the most.
+const MOST_PAIRS: usize = 1000;
+
+/// Keys with values, versions and leases; what the protocol says of them, without limits on rates.
 #[derive(Default)]
 pub struct State {
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
@@ -117,15 +120,20 @@
             }
             (Method::Get, ["store"]) => {
                 let after = parameter("after").unwrap_or_default();
-                let pairs: Vec<Value> = self
+                let limit = parameter("limit").and_then(|n| n.parse().ok());
+                let limit = limit.unwrap_or(MOST_PAIRS).min(MOST_PAIRS);
+                let mut pairs: Vec<Value> = self
                     .keys
                     .iter()
                     .filter(|(k, _)| k.starts_with(&under) && **k > after)
                     .map(|(k, v)| json!({"key": k, "v": v.0, "stamp": v.1}))
+                    .take(limit + 1)
                     .collect();
+                let truncated = pairs.len() > limit;
+                pairs.truncate(limit);
                 (
                     200,
-                    json!({"pairs": pairs, "truncated": false, "tally": self.revision}),
+                    json!({"pairs": pairs, "truncated": truncated, "tally": self.revision}),
                 )
             }
             (Method::Get, ["store", ..]) => match self.keys.get(&path["/store/".len()..]) {
