Tests: workers' share of sockets is really used up; one exchange, one measure of reports for two files

The connections that were to use the workers' share up sent nothing, and a connection counts as a worker's only with its first report: the test held without them. The HTTP exchange and the cost of reports without news stood in tests/scale.rs and again in tests/large_fleets.rs; both call tests/common now. No source changes.

--- a/tests/common/full_fleet.rs
+++ b/tests/common/full_fleet.rs
@@ -121,3 +121,17 @@
         }
     });
 }
+
+/// What twenty reports of a machine cost in which nothing is new: looks at machines and places, and bytes
+/// of what is answered and sent.
+pub fn reports_without_news(core: &mut Core, tasks: &[Vec<TaskReport>], now: f64) -> (u64, usize) {
+    let before = core.looks();
+    let mut bytes = 0;
+    for seq in 0..20 {
+        let answer = report_of(core, "m-7", 3 + seq, None, tasks[7].clone(), now);
+        bytes += serde_json::to_vec(&answer).unwrap().len();
+        core.step(now);
+        bytes += core.take_effects().iter().map(effect_bytes).sum::<usize>();
+    }
+    (core.looks() - before, bytes)
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // no test uses all of it
 
 pub mod full_fleet;
+pub mod http;
 pub mod random;
 
 use serde_json::{json, Value};
--- a/tests/large_fleets.rs
+++ b/tests/large_fleets.rs
@@ -5,6 +5,7 @@
 mod standins;
 
 use common::full_fleet::*;
+use common::http::*;
 use common::*;
 use crossbeam::channel::bounded;
 use serde_json::json;
@@ -24,8 +25,7 @@
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::collections::BTreeSet;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -58,15 +58,8 @@
         now,
         ..
     } = fleet;
+    let (report_looks, report_bytes) = reports_without_news(&mut core, &tasks, now);
     let looks = core.looks();
-    let mut report_bytes = 0;
-    for seq in 0..20 {
-        let answer = report_of(&mut core, "m-7", 3 + seq, None, tasks[7].clone(), now);
-        report_bytes += serde_json::to_vec(&answer).unwrap().len();
-        core.step(now);
-        report_bytes += core.take_effects().iter().map(effect_bytes).sum::<usize>();
-    }
-    let report_looks = core.looks() - looks;
     for (i, here) in tasks.iter_mut().enumerate().skip(100).take(20) {
         here[0].state = TaskState::Exited;
         here[0].cause = Some(Cause::Done);
@@ -77,7 +70,7 @@
     Costs {
         report_looks,
         report_bytes,
-        end_looks: core.looks() - looks - report_looks,
+        end_looks: core.looks() - looks,
         largest,
     }
 }
@@ -294,17 +287,9 @@
     assert_eq!(names.len(), LARGEST as usize);
 }
 
-/// Sends a worker's report on a connection of its own; whether it was answered with 200.
-fn reports(address: SocketAddr, worker: u32) -> bool {
-    let Ok(mut stream) = TcpStream::connect(address) else {
-        return false;
-    };
-    let body = format!("{worker}");
-    let head = "POST /agent/beat HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
-    let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
-    let mut answer = String::new();
-    let sent = stream.write_all(request.as_bytes());
-    sent.is_ok() && stream.read_to_string(&mut answer).is_ok() && answer.starts_with("HTTP/1.1 200")
+/// Sends a worker's report; the answer.
+fn report_on(stream: &mut TcpStream, worker: u32) -> String {
+    send(stream, "POST", "/agent/beat", &worker.to_string())
 }
 
 #[test]
@@ -329,19 +314,30 @@
     let healthy = Arc::new(|| true);
     let address = front::serve(&runtime, any, bounds, Arc::new(handler), healthy).unwrap();
     // The first workers keep their connections open, so that their share is used up.
-    let idle: Vec<TcpStream> = (0..16)
-        .map(|_| TcpStream::connect(address).unwrap())
-        .collect();
+    let connect = move || TcpStream::connect(address).unwrap();
+    let mut open: Vec<TcpStream> = (0..16).map(|_| connect()).collect();
+    for (worker, stream) in open.iter_mut().enumerate() {
+        let answer = report_on(stream, worker as u32);
+        assert!(answer.starts_with("http/1.1 200") && !answer.contains("connection: close"));
+    }
     let senders = 16;
     std::thread::scope(|scope| {
         for sender in 0..senders {
             scope.spawn(move || {
                 for worker in (sender..LARGEST).step_by(senders as usize) {
-                    assert!(reports(address, worker), "worker {worker}");
+                    let answer = report_on(&mut connect(), worker);
+                    assert!(
+                        answer.starts_with("http/1.1 200"),
+                        "worker {worker}: {answer}"
+                    );
+                    assert!(
+                        answer.contains("connection: close"),
+                        "worker {worker}: {answer}"
+                    );
                 }
             });
         }
     });
-    drop(idle);
+    drop(open);
     assert_eq!(heard.lock().unwrap().len(), LARGEST as usize);
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::full_fleet::*;
+use common::http::*;
 use common::*;
 use stairstage::bookkeeping::records::OpenRecord;
 use stairstage::coordination::core::{Core, Effect};
@@ -11,7 +12,7 @@
 use stairstage::transport::front::{self, Bounds};
 use stairstage::transport::runtime::Runtime;
 use stairstage::transport::Reply;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,15 +47,7 @@
             now,
             ..
         } = full_fleet(machines);
-        let before = core.looks();
-        let mut bytes = 0;
-        for seq in 0..20 {
-            let answer = report_of(&mut core, "m-7", 3 + seq, None, tasks[7].clone(), now);
-            bytes += serde_json::to_vec(&answer).unwrap().len();
-            core.step(now);
-            bytes += core.take_effects().iter().map(effect_bytes).sum::<usize>();
-        }
-        (core.looks() - before, bytes)
+        reports_without_news(&mut core, &tasks, now)
     };
     let small = cost(20);
     assert_eq!(small.0, 0);
@@ -192,27 +185,6 @@
     }
 }
 
-fn send(stream: &mut TcpStream, method: &str, path: &str, body: &str) -> String {
-    let length = body.len();
-    let head = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
-    stream.write_all(head.as_bytes()).unwrap();
-    stream.write_all(body.as_bytes()).unwrap();
-    answer(stream)
-}
-
-/// The head of an answer, and what came with it.
-fn answer(stream: &mut TcpStream) -> String {
-    let mut text = String::new();
-    let mut bytes = [0; 4096];
-    while !text.contains("\r\n\r\n") {
-        match stream.read(&mut bytes) {
-            Ok(0) | Err(_) => break,
-            Ok(n) => text.push_str(&String::from_utf8_lossy(&bytes[..n])),
-        }
-    }
-    text.to_lowercase()
-}
-
 fn refused(text: &str) -> bool {
     text.starts_with("http/1.1 503") && text.contains("retry-after: 1")
 }
