--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,4 +4,5 @@
 pub mod cancellations;
 pub mod index;
 pub mod records;
+pub mod request_counts;
 pub mod store;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -17,6 +17,7 @@
 
 pub const LEADER: &str = "leader";
 pub const OPEN: &str = "open/";
+pub const END: &str = "end/";
 pub const PLACE: &str = "place/";
 pub const RUN: &str = "run/";
 pub const TYPES: &str = "types";
@@ -26,7 +27,7 @@
 }
 
 pub fn end_key(id: &str) -> String {
-    format!("end/{id}")
+    format!("{END}{id}")
 }
 
 pub fn run_key(id: &str, number: usize) -> String {
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -1,5 +1,6 @@
 //! The state service's client.
 
+use super::request_counts::{RecentRequests, RequestCounts, RequestKind};
 use crate::protocol::store::*;
 use crate::transport::client::{Answer, Client};
 use serde::de::DeserializeOwned;
@@ -20,8 +21,10 @@
     Applied(u64),
     /// The named keys had other versions.
     Conflict(Vec<String>),
-    /// It was not carried out: the service refuses this node, or is overloaded, or is not reached.
+    /// It was not carried out: the service refuses this node, or is not reached.
     Refused,
+    /// It was not carried out: it was one too many.
+    Limited,
     /// It never will be: a value or the whole is larger than the service takes.
     TooLarge,
     /// The leadership lease named in it is over.
@@ -50,6 +53,7 @@
     begun: Instant,
     /// Whether it has ever refused a transaction for being one too many.
     limited: Arc<AtomicBool>,
+    counts: Arc<RequestCounts>,
 }
 
 impl Store {
@@ -59,6 +63,7 @@
             answered_ms: Arc::default(),
             begun: Instant::now(),
             limited: Arc::default(),
+            counts: Arc::default(),
         }
     }
 
@@ -73,7 +78,17 @@
         self.begun.saturating_duration_since(epoch) + since_begun
     }
 
-    fn noted(&self, answer: Answer) -> Answer {
+    /// The requests since the last call of this.
+    pub fn take_request_counts(&self) -> RecentRequests {
+        self.counts.take()
+    }
+
+    fn noted(&self, kind: RequestKind, answer: Answer) -> Answer {
+        let status = match answer {
+            Answer::Response(status, _) => Some(status),
+            _ => None,
+        };
+        self.counts.count(kind, status);
         if matches!(answer, Answer::Response(status, _) if status != 503) {
             let now = self.begun.elapsed().as_millis() as u64;
             self.answered_ms.store(now, Ordering::Relaxed);
@@ -86,7 +101,8 @@
     }
 
     fn get_within(&self, key: &str, timeout: Duration) -> Result<Option<Item>, Unavailable> {
-        match self.noted(self.client.get(&format!("/store/{key}"), timeout)) {
+        let answer = self.client.get(&format!("/store/{key}"), timeout);
+        match self.noted(RequestKind::Read, answer) {
             Answer::Response(404, _) => Ok(None),
             answer => answer.ok().map(Some).ok_or(Unavailable),
         }
@@ -109,18 +125,25 @@
         }))
     }
 
+    /// The first keys under a prefix that come after another one, or the first of all.
+    pub fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> Result<Page, Unavailable> {
+        let after = after.map_or(String::new(), |key| format!("&after={key}"));
+        let path = format!("/store?under={prefix}{after}&limit={limit}");
+        let answer = self.noted(RequestKind::Page, self.client.get(&path, WITHIN));
+        answer.ok().ok_or(Unavailable)
+    }
+
     /// Everything under a prefix, with the revision as of the first page.
     pub fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), Unavailable> {
         let mut items: Vec<Item> = Vec::new();
         let mut first = None;
         loop {
-            let after = match items.last() {
-                Some(item) => format!("&after={}", item.key),
-                None => String::new(),
-            };
-            let path = format!("/store?under={prefix}{after}&limit={PAGE}");
-            let answer = self.noted(self.client.get(&path, WITHIN));
-            let page: Page = answer.ok().ok_or(Unavailable)?;
+            let page = self.page(prefix, items.last().map(|item| item.key.as_str()), PAGE)?;
             let revision = *first.get_or_insert(page.revision);
             let empty = page.items.is_empty();
             items.extend(page.items);
@@ -136,7 +159,12 @@
 
     /// The same, for a caller that cannot wait as long as usual.
     pub fn commit_within(&self, transaction: &Transaction, timeout: Duration) -> Outcome {
-        match self.noted(self.client.post("/txn", transaction, timeout)) {
+        let kind = match transaction.changes.is_empty() {
+            true => RequestKind::Comparison,
+            false => RequestKind::Change,
+        };
+        let answer = self.client.post("/txn", transaction, timeout);
+        match self.noted(kind, answer) {
             Answer::Response(200, body) => match serde_json::from_slice::<Applied>(&body) {
                 Ok(applied) => Outcome::Applied(applied.revision),
                 Err(_) => Outcome::Unknown,
@@ -157,7 +185,7 @@
             }
             Answer::Response(429, _) => {
                 self.limited.store(true, Ordering::Relaxed);
-                Outcome::Refused
+                Outcome::Limited
             }
             Answer::Response(..) | Answer::NotSent => Outcome::Refused,
             Answer::Unknown => Outcome::Unknown,
@@ -166,13 +194,15 @@
 
     pub fn grant(&self, life: Duration) -> Result<u64, Unavailable> {
         let body = json!({"life_ms": life.as_millis() as u64});
-        let granted: Option<Granted> = self.noted(self.client.post("/leases", &body, WITHIN)).ok();
+        let answer = self.client.post("/leases", &body, WITHIN);
+        let granted: Option<Granted> = self.noted(RequestKind::Lease, answer).ok();
         granted.map(|g| g.lease).ok_or(Unavailable)
     }
 
     pub fn renew(&self, lease: u64, within: Duration) -> Renewal {
         let path = format!("/leases/{lease}/extend");
-        match self.noted(self.client.post(&path, &json!({}), within)) {
+        let answer = self.client.post(&path, &json!({}), within);
+        match self.noted(RequestKind::Lease, answer) {
             Answer::Response(200, _) => Renewal::Renewed,
             Answer::Response(404, _) => Renewal::Over,
             _ => Renewal::Unavailable,
@@ -180,7 +210,8 @@
     }
 
     pub fn release(&self, lease: u64) {
-        let _ = self.client.delete(&format!("/leases/{lease}"), WITHIN);
+        let answer = self.client.delete(&format!("/leases/{lease}"), WITHIN);
+        self.noted(RequestKind::Lease, answer);
     }
 
     /// Waits for changes under a prefix; `None` when the revision is too old to go on from.
@@ -192,7 +223,8 @@
     ) -> Result<Option<Events>, Unavailable> {
         let hold_ms = hold.as_millis();
         let path = format!("/changes?under={prefix}&after={after}&hold_ms={hold_ms}");
-        match self.noted(self.client.get(&path, hold + WITHIN)) {
+        let answer = self.client.get(&path, hold + WITHIN);
+        match self.noted(RequestKind::Watch, answer) {
             Answer::Response(410, _) => Ok(None),
             answer => answer.ok().map(Some).ok_or(Unavailable),
         }
--- a/src/coordination/election/mod.rs
+++ b/src/coordination/election/mod.rs
@@ -225,7 +225,9 @@
                 self.state = State::Leading(term);
                 operation
             }
-            Outcome::Unknown | Outcome::Refused | Outcome::TooLarge => self.retry_later(now),
+            Outcome::Unknown | Outcome::Refused | Outcome::Limited | Outcome::TooLarge => {
+                self.retry_later(now)
+            }
             Outcome::Conflict(_) | Outcome::NoLease => self.release(lease, AfterRelease::Read),
         }
     }
--- a/src/coordination/election/term.rs
+++ b/src/coordination/election/term.rs
@@ -186,10 +186,10 @@
             }
             Outcome::Conflict(_) | Outcome::NoLease => self.not_raised(now, events),
             // This copy was not carried out, but an earlier one may be.
-            Outcome::Refused | Outcome::TooLarge if unanswered => {
+            Outcome::Refused | Outcome::Limited | Outcome::TooLarge if unanswered => {
                 self.continue_raise(RaiseStep::Commit, true, now + self.retry_pause());
             }
-            Outcome::Refused | Outcome::TooLarge => {
+            Outcome::Refused | Outcome::Limited | Outcome::TooLarge => {
                 self.raise = None;
                 events.push(ElectionEvent::TokenRaised(None));
             }
--- a/src/coordination/requests/acceptance.rs
+++ b/src/coordination/requests/acceptance.rs
@@ -59,9 +59,11 @@
                 self.tries += 1;
                 Ok(Step::Call(self.commit()))
             }
-            Outcome::Unknown | Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => {
-                Err(Unavailable)
-            }
+            Outcome::Unknown
+            | Outcome::Refused
+            | Outcome::Limited
+            | Outcome::TooLarge
+            | Outcome::NoLease => Err(Unavailable),
         }
     }
 }
--- a/src/coordination/requests/answers.rs
+++ b/src/coordination/requests/answers.rs
@@ -15,6 +15,10 @@
     NoMachineTypes,
     /// Its acceptance has met another that is not to be seen yet.
     JustAccepted,
+    /// More polls than the state service's requests suffice for; this one comes first then.
+    TooManyPolls {
+        retry_after_s: u32,
+    },
 }
 
 /// What a user is told.
@@ -49,6 +53,14 @@
             Reason::NoStateService => "the state service is not reached",
             Reason::NoMachineTypes => "the machine types are not known yet",
             Reason::JustAccepted => "the job is just being accepted",
+            Reason::TooManyPolls { .. } => "more is asked than can be looked up now",
+        }
+    }
+
+    fn retry_after_s(self) -> u32 {
+        match self {
+            Reason::TooManyPolls { retry_after_s } => retry_after_s,
+            _ => RETRY_AFTER_S,
         }
     }
 }
@@ -87,7 +99,7 @@
     /// Seconds after which a retry makes sense.
     pub fn retry_after(&self) -> Option<u32> {
         match self {
-            Answer::Later(_) => Some(RETRY_AFTER_S),
+            Answer::Later(reason) => Some(reason.retry_after_s()),
             Answer::FromPeer(answer) => answer.retry_after,
             _ => None,
         }
--- a/src/coordination/requests/cancellation.rs
+++ b/src/coordination/requests/cancellation.rs
@@ -94,7 +94,9 @@
             Outcome::Applied(_) => Ok(self.cancelled()),
             // Ended meanwhile, or cancelled by a try whose answer was lost.
             Outcome::Conflict(_) | Outcome::Unknown => self.retry(),
-            Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => Err(Unavailable),
+            Outcome::Refused | Outcome::Limited | Outcome::TooLarge | Outcome::NoLease => {
+                Err(Unavailable)
+            }
         }
     }
 
--- a/src/coordination/requests/mod.rs
+++ b/src/coordination/requests/mod.rs
@@ -3,8 +3,8 @@
 //! A [`Request`] is a state machine for one submission, query or cancellation: [`Event`]s go in,
 //! [`Effect`]s come out, and a driver carries them out. It is answered from what this node knows, by
 //! the leader, or from the records of the state service; what the state service does not let this
-//! node do, another node is asked for. A [`polls::Confirmation`] does the same for a batch of polls
-//! of open jobs.
+//! node do, another node is asked for. Polls that only the records can answer go to the node's
+//! [`polls::PollBatcher`], which looks many of them up at once.
 //!
 //! The rules that every answer keeps:
 //!
@@ -33,7 +33,7 @@
 use crate::protocol::job::{JobSpec, JobState, JobStatus};
 use crate::settings::Settings;
 use cancellation::Cancellation;
-use lookup::Lookup;
+use polls::Poll;
 use std::sync::Arc;
 use steps::{Progress, Step};
 use submission::Submission;
@@ -88,8 +88,8 @@
     /// The job's end is on record. Comes before every answer that tells of an end on the strength
     /// of the state service or of the leader.
     Ended(JobState),
-    /// Answer with this status unless the job's end is on record, see [`polls::Confirmation`].
-    Confirm(JobStatus),
+    /// Answer from the records, together with others: see [`polls::PollBatcher`].
+    LookUp(Poll),
     Answer(Answer),
 }
 
@@ -114,7 +114,6 @@
 /// The part of a request that the state service decides.
 enum Work {
     Submission(Box<Submission>),
-    Query(Lookup),
     Cancellation(Cancellation),
 }
 
@@ -160,6 +159,13 @@
         (request, vec![Effect::Locate])
     }
 
+    /// A question about a job that this node can't ask the state service for, and the first effects.
+    pub fn refused_query(job: String, context: Context) -> (Request, Vec<Effect>) {
+        let mut request = Request::new(job, context, Stage::AskingOthers(0));
+        let effects = request.ask_others(0);
+        (request, effects)
+    }
+
     /// A cancellation of a job, and the first effects.
     pub fn cancellation(job: String, context: Context) -> (Request, Vec<Effect>) {
         let (work, call) = Cancellation::begin(&job, &context);
@@ -207,10 +213,7 @@
         };
         match located.status {
             Some(status) if status.state.is_end() => self.answer(Answer::Known(status)),
-            Some(status) => {
-                self.stage = Stage::Answered;
-                vec![Effect::Confirm(status)]
-            }
+            Some(status) => self.look_up(Some(status)),
             None => self.ask_leader(located.leader.filter(|_| !located.leads)),
         }
     }
@@ -221,14 +224,14 @@
                 self.stage = Stage::AskingLeader;
                 vec![Effect::Ask(leader)]
             }
-            None => self.look_up(),
+            None => self.look_up(None),
         }
     }
 
     /// A leader that cannot take it now may be cut off where this node is not.
     fn leader_answered(&mut self, answer: Option<PeerAnswer>) -> Vec<Effect> {
         let Some(answer) = answer.filter(PeerAnswer::is_decided) else {
-            return self.look_up();
+            return self.look_up(None);
         };
         // An end that the leader tells of never changes: it is answered from here the next time.
         let ended = answer.end().map(Effect::Ended);
@@ -236,10 +239,11 @@
         ended.into_iter().chain(answered).collect()
     }
 
-    fn look_up(&mut self) -> Vec<Effect> {
-        let (lookup, call) = Lookup::begin(&self.job);
-        self.stage = Stage::UsingStore(Work::Query(lookup));
-        vec![Effect::Store(call)]
+    /// The records decide, unless the leader's picture is right as far as they go.
+    fn look_up(&mut self, shown: Option<JobStatus>) -> Vec<Effect> {
+        self.stage = Stage::Answered;
+        let job = self.job.clone();
+        vec![Effect::LookUp(Poll { job, shown })]
     }
 
     fn advance(&mut self, progress: Progress<Decision>) -> Vec<Effect> {
@@ -291,9 +295,6 @@
         match self {
             Work::Submission(submission) => submission.on(answer),
             Work::Cancellation(cancellation) => Ok(cancellation.on(answer)?.map(Decision::from)),
-            Work::Query(lookup) => Ok(lookup
-                .on(answer)?
-                .map(|found| Decision::from(found.map_or(Answer::NotFound, Answer::Known)))),
         }
     }
 }
--- a/src/coordination/requests/steps.rs
+++ b/src/coordination/requests/steps.rs
@@ -1,7 +1,7 @@
 //! Calls to the state service, one at a time, and what a part of a request makes of the answers.
 
 use crate::bookkeeping::store::{Outcome, Unavailable};
-use crate::protocol::store::{Item, Transaction};
+use crate::protocol::store::{Item, Page, Transaction};
 use serde::de::DeserializeOwned;
 
 /// What the state service is asked.
@@ -9,6 +9,12 @@
 pub enum StoreCall {
     /// The value of a key: [`StoreAnswer::Read`].
     Read(String),
+    /// The first keys under a prefix that come after another one: [`StoreAnswer::Listed`].
+    List {
+        under: String,
+        after: String,
+        limit: usize,
+    },
     /// [`StoreAnswer::Committed`].
     Commit(Transaction),
 }
@@ -17,6 +23,7 @@
 #[derive(Debug)]
 pub enum StoreAnswer {
     Read(Result<Option<Item>, Unavailable>),
+    Listed(Result<Page, Unavailable>),
     Committed(Outcome),
 }
 
@@ -36,7 +43,7 @@
     pub(super) fn outcome(self) -> Outcome {
         match self {
             StoreAnswer::Committed(outcome) => outcome,
-            StoreAnswer::Read(_) => Outcome::Refused,
+            StoreAnswer::Read(_) | StoreAnswer::Listed(_) => Outcome::Refused,
         }
     }
 }
--- a/src/service/controller/mod.rs
+++ b/src/service/controller/mod.rs
@@ -30,7 +30,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Hands a worker's report to the controller, or answers at once when it has no room.
 pub fn offer_report(inbox: &Sender<Message>, body: Vec<u8>, passed_on: bool, respond: Respond) {
@@ -90,6 +90,8 @@
     redirects: Redirects,
     ticked: Time,
     listed: Time,
+    /// When the log last told of requests to the state service.
+    requests_told: Time,
     /// When a worker last reported here itself, and whether peers are being asked because none does.
     heard: Time,
     probing: bool,
@@ -107,6 +109,8 @@
 const LIST_SHARE: f64 = 0.1;
 /// Messages taken in before the core decides again.
 const BATCH: usize = 64;
+/// Seconds between two lines of the log about requests to the state service.
+const REQUESTS_TOLD_S: f64 = 10.0;
 const STEP: Duration = Duration::from_millis(20);
 /// Bytes that a remembered end takes, and the share of memory for them.
 const END_BYTES: f64 = 200.0;
@@ -125,6 +129,7 @@
             redirects: Redirects::new(&settings.cluster.workers),
             ticked: 0.0,
             listed: 0.0,
+            requests_told: 0.0,
             heard: 0.0,
             probing: false,
             crowded: false,
@@ -173,6 +178,7 @@
         if tick {
             self.ticked = now;
             self.redirects.forget_old(now);
+            self.tell_request_counts(now);
         }
         self.take_own_cancellations();
         self.ask_peers_for_cancellations(now);
@@ -210,6 +216,13 @@
         }
     }
 
+    fn tell_request_counts(&mut self, now: Time) {
+        if now - self.requests_told >= REQUESTS_TOLD_S {
+            self.requests_told = now;
+            info!("state service: {}", self.links.store.take_request_counts());
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Write { id, transaction } => self.links.pool.write(id, transaction),
@@ -264,6 +277,11 @@
             }
             Message::Opened(opened) => self.opened(opened),
             Message::Ended(id, state) => self.ended(&id, state),
+            Message::EndsRecorded(ends) => {
+                for (id, state) in ends {
+                    self.ends.insert(&id, state);
+                }
+            }
             Message::Found(ends) => {
                 if let Some(core) = self.core() {
                     core.found(ends, now);
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -4,13 +4,13 @@
 use super::controller::wall_ms;
 use super::end_notifier::EndNotifier;
 use super::messages::Message;
-use super::polls::Polls;
+use super::polls::{Polls, UserPoll};
 use crate::bookkeeping::store::Store;
+use crate::coordination::requests::polls::Poll;
 use crate::coordination::requests::{
     self, Context, Effect, Event, Located, PeerAnswer, Request, StoreAnswer, StoreCall,
 };
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::JobStatus;
 use crate::settings::Settings;
 use crate::transport::front::Call;
 use crate::transport::peers::{Asked, Kind, Peers};
@@ -31,6 +31,8 @@
 enum Work {
     /// A user's request; `from_peer` when another controller has handed it on.
     Call { call: Call, from_peer: bool },
+    /// A poll for which this node can't ask the state service.
+    HandOn { job: String },
     /// A worker's report that its sender cannot bring to the leader.
     PassOn { leader: String, body: Vec<u8> },
 }
@@ -52,6 +54,13 @@
         }
     }
 
+    pub fn hand_on(job: String, respond: Respond) -> Task {
+        Task {
+            work: Work::HandOn { job },
+            respond,
+        }
+    }
+
     pub fn pass_on(leader: String, body: Vec<u8>, respond: Respond) -> Task {
         Task {
             work: Work::PassOn { leader, body },
@@ -111,8 +120,8 @@
 /// How a request has ended here.
 enum Answered {
     Now(Reply),
-    /// The leader's picture says so, unless the job's end is on record.
-    Unless(JobStatus),
+    /// The records decide.
+    LookUp(Poll),
 }
 
 impl Gateway {
@@ -120,6 +129,7 @@
         for task in &self.tasks {
             match task.work {
                 Work::Call { call, from_peer } => self.answer(&call, from_peer, task.respond),
+                Work::HandOn { job } => (task.respond)(self.hand_on(job)),
                 Work::PassOn { leader, body } => (task.respond)(self.pass_on(&leader, body)),
             }
         }
@@ -139,11 +149,27 @@
         })
     }
 
+    /// Brings a poll to another controller that can ask the state service.
+    fn hand_on(&self, job: String) -> Reply {
+        let (request, effects) = Request::refused_query(job, self.context(false));
+        match self.carry_out(request, effects, Kind::Query, &[]) {
+            Answered::Now(reply) => reply,
+            // It would be refused again.
+            Answered::LookUp(_) => busy(),
+        }
+    }
+
     fn answer(&self, call: &Call, from_peer: bool, respond: Respond) {
         let begun = Instant::now();
         let reply = match self.decide(call, from_peer) {
             Answered::Now(reply) => reply,
-            Answered::Unless(status) => return self.polls.confirm(status, respond),
+            Answered::LookUp(poll) => {
+                return self.polls.look_up(UserPoll {
+                    poll,
+                    from_peer,
+                    respond,
+                });
+            }
         };
         if begun.elapsed() > LEADER_PATIENCE / 4 || reply.status >= 500 {
             let what = call.name();
@@ -205,6 +231,8 @@
                     Event::Peer(self.ask(&peer, &asked))
                 }
                 Effect::Opened(record, version) => {
+                    let spec = &record.spec;
+                    self.polls.accepted(spec.id.clone(), spec.waits_on.clone());
                     let opened = Message::Opened(vec![(*record, version)]);
                     let _ = self.controller.try_send(opened);
                     continue;
@@ -213,7 +241,7 @@
                     self.ends.note(request.job(), state);
                     continue;
                 }
-                Effect::Confirm(status) => return Answered::Unless(status),
+                Effect::LookUp(poll) => return Answered::LookUp(poll),
                 Effect::Answer(answer) => return Answered::Now(reply_of(answer)),
             };
             effects.extend(request.on(event));
@@ -264,6 +292,11 @@
 pub(super) fn store_answer(store: &Store, call: StoreCall) -> StoreAnswer {
     match call {
         StoreCall::Read(key) => StoreAnswer::Read(store.get(&key)),
+        StoreCall::List {
+            under,
+            after,
+            limit,
+        } => StoreAnswer::Listed(store.page(&under, Some(&after), limit)),
         StoreCall::Commit(transaction) => StoreAnswer::Committed(store.commit(&transaction)),
     }
 }
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -28,6 +28,8 @@
     /// Jobs that were accepted or cancelled, as their records say, with the versions of these.
     Opened(Vec<(OpenRecord, u64)>),
     Ended(String, JobState),
+    /// Ends that are on record, as a watch tells.
+    EndsRecorded(Vec<(String, JobState)>),
     /// How jobs ended that were looked up, if they did.
     Found(Vec<(Name, Option<EndRecord>)>),
     /// The records as read for a term, by a request that was sent then.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -8,6 +8,7 @@
 pub mod controller;
 pub mod election;
 pub mod end_notifier;
+pub mod end_watch;
 pub mod gateway;
 mod isolation;
 pub mod messages;
@@ -106,7 +107,8 @@
         controller: inbox.clone(),
         cancellations: cancellations.clone(),
     };
-    let polls = polls::start(&settings, &store, &ends)?;
+    let polls = polls::start(&settings, &store, &ends, &stage)?;
+    end_watch::start(&settings, &store, &inbox, &polls)?;
     for _ in 0..GATEWAYS {
         let gateway = Gateway {
             settings: settings.clone(),
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -1,80 +1,177 @@
-//! The stage of users' polls of open jobs: carries out what [`Confirmation`] decides of those that
-//! come within a moment.
+//! The stage of users' polls that the records answer: carries out what [`PollBatcher`] decides.
 
 use super::end_notifier::EndNotifier;
-use super::gateway::{reply_of, store_answer};
+use super::gateway::{self, reply_of, store_answer, Task};
 use super::{busy, spawn};
 use crate::bookkeeping::store::Store;
-use crate::coordination::requests::polls::{Confirmation, Effect};
-use crate::protocol::job::JobStatus;
+use crate::coordination::requests::polls::{Effect, Limits, Poll, PollBatcher};
+use crate::coordination::requests::{Answer, Reason};
+use crate::coordination::Time;
+use crate::protocol::job::JobState;
 use crate::settings::Settings;
 use crate::transport::Respond;
-use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
-use std::collections::VecDeque;
-use std::time::Duration;
+use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender, TrySendError};
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
 
-/// Polls that may wait.
-const WAITING: usize = 512;
-/// The share of the state service's requests that polls may take.
-const REQUESTS_SHARE: f64 = 0.25;
+/// While nothing waits, the stage looks up from its channel so often.
+const IDLE: Duration = Duration::from_secs(1);
 
-type Poll = (JobStatus, Respond);
+/// A poll and who gets its answer.
+pub struct UserPoll {
+    pub poll: Poll,
+    /// Whether another controller has handed it on. It is then handed on no further.
+    pub from_peer: bool,
+    pub respond: Respond,
+}
+
+enum Input {
+    Poll(UserPoll),
+    /// A job that was accepted here, and what it waits for.
+    Accepted(String, Vec<String>),
+    /// Jobs whose ends are on record.
+    Ended(Vec<(String, JobState)>),
+}
 
-/// Where polls of open jobs are handed in.
+/// Where polls are handed in, and what helps to answer them.
 #[derive(Clone)]
-pub struct Polls(Sender<Poll>);
+pub struct Polls(Sender<Input>);
 
 impl Polls {
-    /// Answers with `status`, unless the job's end is on record.
-    pub fn confirm(&self, status: JobStatus, respond: Respond) {
-        let sent = self.0.try_send((status, respond));
-        if let Err(TrySendError::Full((_, r)) | TrySendError::Disconnected((_, r))) = sent {
-            r(busy());
+    /// Answers from the records; at once where the stage has no room.
+    pub fn look_up(&self, poll: UserPoll) {
+        let sent = self.0.try_send(Input::Poll(poll));
+        if let Err(TrySendError::Full(input) | TrySendError::Disconnected(input)) = sent {
+            if let Input::Poll(poll) = input {
+                (poll.respond)(busy());
+            }
         }
     }
-}
 
-pub fn start(settings: &Settings, store: &Store, ends: &EndNotifier) -> anyhow::Result<Polls> {
-    let (tx, rx) = bounded(WAITING);
-    let state = &settings.cluster.state;
-    let most = state.conditions();
-    let pause = Duration::from_secs_f64(1.0 / (REQUESTS_SHARE * state.rps));
-    let (store, ends) = (store.clone(), ends.clone());
-    spawn("polls", move || {
-        confirm_all(&rx, &store, &ends, most, pause)
-    })?;
-    Ok(Polls(tx))
+    /// Notes that a job was accepted here. What is not noted is read when it is asked for.
+    pub fn accepted(&self, job: String, waits_on: Vec<String>) {
+        let _ = self.0.try_send(Input::Accepted(job, waits_on));
+    }
+
+    /// Notes that ends are on record. What is not noted is read when it is asked for.
+    pub fn ended(&self, ends: Vec<(String, JobState)>) {
+        let _ = self.0.try_send(Input::Ended(ends));
+    }
 }
 
-fn confirm_all(
-    polls: &Receiver<Poll>,
+/// Starts the stage; `gateway` takes the polls that another controller must answer.
+pub fn start(
+    settings: &Settings,
     store: &Store,
     ends: &EndNotifier,
-    most: usize,
-    pause: Duration,
-) {
-    while let Ok(first) = polls.recv() {
-        // More come meanwhile, and share the request.
-        std::thread::sleep(pause);
-        let mut batch = vec![first];
-        batch.extend(polls.try_iter().take(most - 1));
-        confirm_batch(batch, store, ends);
-    }
+    gateway: &Sender<Task>,
+) -> anyhow::Result<Polls> {
+    let (tx, rx) = bounded(settings.waiting_polls());
+    let stage = Stage {
+        batcher: PollBatcher::new(Limits::of(settings)),
+        asked: HashMap::new(),
+        last_number: 0,
+        begun: Instant::now(),
+        store: store.clone(),
+        ends: ends.clone(),
+        gateway: gateway.clone(),
+    };
+    spawn("polls", move || stage.run(&rx))?;
+    Ok(Polls(tx))
+}
+
+/// Who asked about a job.
+struct Asked {
+    job: String,
+    from_peer: bool,
+    respond: Respond,
 }
 
-fn confirm_batch(batch: Vec<Poll>, store: &Store, ends: &EndNotifier) {
-    let (polls, responds): (Vec<JobStatus>, Vec<Respond>) = batch.into_iter().unzip();
-    let ids: Vec<String> = polls.iter().map(|status| status.id.clone()).collect();
-    let mut responds: Vec<Option<Respond>> = responds.into_iter().map(Some).collect();
-    let (mut confirmation, effects) = Confirmation::begin(polls);
-    let mut effects = VecDeque::from(effects);
-    while let Some(effect) = effects.pop_front() {
-        match effect {
-            Effect::Store(call) => effects.extend(confirmation.on(store_answer(store, call))),
-            Effect::Ended(poll, state) => ends.note(&ids[poll], state),
-            Effect::Answer(poll, answer) => {
-                if let Some(respond) = responds[poll].take() {
-                    respond(reply_of(answer));
+struct Stage {
+    batcher: PollBatcher,
+    /// Who gets the answers to the polls that the batcher has.
+    asked: HashMap<u64, Asked>,
+    last_number: u64,
+    begun: Instant,
+    store: Store,
+    ends: EndNotifier,
+    gateway: Sender<Task>,
+}
+
+impl Stage {
+    fn run(mut self, inputs: &Receiver<Input>) {
+        loop {
+            let pause = self.batcher.pause_s().map_or(IDLE, Duration::from_secs_f64);
+            match inputs.recv_timeout(pause) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            for input in inputs.try_iter() {
+                self.take(input);
+            }
+            let effects = self.batcher.next(self.now());
+            self.carry_out(effects);
+        }
+    }
+
+    fn now(&self) -> Time {
+        self.begun.elapsed().as_secs_f64()
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Poll(UserPoll {
+                poll,
+                from_peer,
+                respond,
+            }) => {
+                self.last_number += 1;
+                let job = poll.job.clone();
+                let asked = Asked {
+                    job,
+                    from_peer,
+                    respond,
+                };
+                self.asked.insert(self.last_number, asked);
+                let effects = self.batcher.ask(self.last_number, poll, self.now());
+                self.carry_out(effects);
+            }
+            Input::Accepted(job, waits_on) => self.batcher.accepted(&job, &waits_on),
+            Input::Ended(ends) => {
+                for (job, state) in ends {
+                    self.batcher.ended(&job, state);
+                }
+            }
+        }
+    }
+
+    /// Has another controller answer, unless this one was asked by another itself.
+    fn hand_on(&self, poll: Asked) {
+        match poll.from_peer {
+            true => (poll.respond)(reply_of(Answer::Later(Reason::NoStateService))),
+            false => gateway::offer(&self.gateway, Task::hand_on(poll.job, poll.respond)),
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        let mut effects = VecDeque::from(effects);
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                Effect::Store(call) => {
+                    let answer = store_answer(&self.store, call);
+                    effects.extend(self.batcher.on(answer, self.now()));
+                }
+                Effect::Ended(job, state) => self.ends.note(&job, state),
+                Effect::Answer(number, answer) => {
+                    if let Some(asked) = self.asked.remove(&number) {
+                        (asked.respond)(reply_of(answer));
+                    }
+                }
+                Effect::HandOn(number) => {
+                    if let Some(poll) = self.asked.remove(&number) {
+                        self.hand_on(poll);
+                    }
                 }
             }
         }
--- a/src/service/workers.rs
+++ b/src/service/workers.rs
@@ -125,7 +125,7 @@
     for (id, transaction) in jobs {
         let result = match store.commit(&transaction) {
             Outcome::Applied(revision) => Written::Applied(revision),
-            Outcome::Refused | Outcome::NoLease => Written::Refused,
+            Outcome::Refused | Outcome::Limited | Outcome::NoLease => Written::Refused,
             Outcome::TooLarge => Written::TooLarge,
             Outcome::Conflict(failed) => Written::Reread(reread(store, &failed)),
             Outcome::Unknown => Written::Reread(reread(store, &written_keys(&transaction))),
--- a/src/settings/sockets.rs
+++ b/src/settings/sockets.rs
@@ -36,6 +36,12 @@
         self.share_of_sockets(USERS_SHARE)
     }
 
+    /// Polls that may wait to be looked up: one of each user's connection, and as many requests as the
+    /// other controllers may hand on at a time.
+    pub fn waiting_polls(&self) -> usize {
+        self.user_connections() + GATEWAYS * self.peers.len()
+    }
+
     /// Connections on which commands go straight to workers; at least one.
     pub fn command_connections(&self) -> usize {
         self.share_of_sockets(COMMANDS_SHARE).max(1)
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -136,10 +136,15 @@
                     json!({"pairs": pairs, "truncated": truncated, "tally": self.revision}),
                 )
             }
-            (Method::Get, ["store", ..]) => match self.keys.get(&path["/store/".len()..]) {
-                Some((value, stamp, _)) => (200, json!({"key": path, "v": value, "stamp": stamp})),
-                None => (404, json!({"tally": self.revision})),
-            },
+            (Method::Get, ["store", ..]) => {
+                let key = &path["/store/".len()..];
+                match self.keys.get(key) {
+                    Some((value, stamp, _)) => {
+                        (200, json!({"key": key, "v": value, "stamp": stamp}))
+                    }
+                    None => (404, json!({"tally": self.revision})),
+                }
+            }
             _ => (400, json!({})),
         }
     }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use common::*;
+use stairstage::bookkeeping::store::Outcome;
+use stairstage::coordination::requests::polls::{self, Limits, Poll, PollBatcher};
 use stairstage::coordination::requests::{
     Context, Effect, Event, Located, Request, StoreAnswer, StoreCall,
 };
 use stairstage::settings::{Peer, Settings};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 /// Questions that come to one of three nodes within a second, as users of a fleet of 6,000 machines ask.
@@ -34,11 +36,10 @@
     }
 }
 
-/// Carries a question out while the leader does not answer in time; the calls to the state service.
-fn calls_of_question(job: &str) -> usize {
+/// What a question costs while the leader does not answer in time: it goes to the node's batcher.
+fn poll_of_question(job: &str) -> Poll {
     let (mut request, effects) = Request::query(job.to_string(), context());
     let mut effects = VecDeque::from(effects);
-    let mut calls = 0;
     while let Some(effect) = effects.pop_front() {
         let event = match effect {
             Effect::Locate => Event::Located(Some(Located {
@@ -47,29 +48,65 @@
                 leader: Some("b".into()),
             })),
             Effect::Ask(_) => Event::Peer(None),
-            Effect::Store(call) => {
-                calls += 1;
-                match call {
-                    StoreCall::Read(_) => Event::Store(StoreAnswer::Read(Ok(None))),
-                    StoreCall::Commit(_) => panic!("a question writes nothing"),
-                }
-            }
-            _ => break,
+            Effect::LookUp(poll) => return poll,
+            other => panic!("a question costs nothing else: {other:?}"),
         };
         effects.extend(request.on(event));
     }
-    calls
+    panic!("a question goes on until it is answered");
+}
+
+/// Calls to the state service, and answers by their status.
+#[derive(Default)]
+struct Seen {
+    calls: usize,
+    answers: BTreeMap<u16, usize>,
+}
+
+impl Seen {
+    fn carry_out(&mut self, batcher: &mut PollBatcher, effects: Vec<polls::Effect>, now: f64) {
+        let mut effects = VecDeque::from(effects);
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                polls::Effect::Store(StoreCall::Commit(transaction)) => {
+                    assert!(transaction.changes.is_empty(), "a question writes nothing");
+                    self.calls += 1;
+                    let answer = StoreAnswer::Committed(Outcome::Applied(1));
+                    effects.extend(batcher.on(answer, now));
+                }
+                polls::Effect::Answer(_, answer) => {
+                    *self.answers.entry(answer.status()).or_default() += 1;
+                }
+                other => panic!("no job is known to the state service: {other:?}"),
+            }
+        }
+    }
 }
 
-/// Known red: see KNOWN-RED.txt.
 #[test]
 fn questions_leave_the_leader_most_requests_of_the_state_service() {
-    let questions = (0..QUESTIONS).map(|i| calls_of_question(&format!("req-{i}")));
-    let calls: usize = questions.sum();
-    let state = context().settings.cluster.state.clone();
-    let part = USERS_SHARE * state.rps / 3.0;
+    let settings = context().settings;
+    let mut batcher = PollBatcher::new(Limits::of(&settings));
+    let mut seen = Seen::default();
+    for i in 0..QUESTIONS {
+        let now = i as f64 / QUESTIONS as f64;
+        let poll = poll_of_question(&format!("req-{i}"));
+        let effects = batcher.ask(i as u64, poll, now);
+        seen.carry_out(&mut batcher, effects, now);
+        let effects = batcher.next(now);
+        seen.carry_out(&mut batcher, effects, now);
+    }
+    let mut now = 1.0;
+    while let Some(pause_s) = batcher.pause_s() {
+        now += pause_s;
+        let effects = batcher.next(now);
+        seen.carry_out(&mut batcher, effects, now);
+    }
+    let calls = seen.calls;
+    let part = USERS_SHARE * settings.cluster.state.rps / 3.0;
     assert!(
         calls as f64 <= part,
         "{calls} calls in a second of {part:.0}"
     );
+    assert_eq!(seen.answers, BTreeMap::from([(404, QUESTIONS)]));
 }
--- /dev/null
+++ b/tests/polls/nodes.rs
@@ -0,0 +1,266 @@
+//! Three nodes with their batchers, and who leads.
+
+use crate::jobs;
+use crate::state_service::StateService;
+use stairstage::bookkeeping::store::Outcome;
+use stairstage::coordination::requests::polls::{Effect, Limits, Poll, PollBatcher};
+use stairstage::coordination::requests::{Answer, Reason, StoreAnswer, StoreCall};
+use stairstage::protocol::job::{JobState, JobStatus};
+use std::collections::{BTreeMap, VecDeque};
+
+pub const NODES: usize = 3;
+const STEP_S: f64 = 0.01;
+/// Seconds that a call takes; one in so many takes long.
+const CALL_S: f64 = 0.01;
+const SLOW_CALL_S: f64 = 0.3;
+const SLOW_EVERY: u64 = 50;
+const RPS: f64 = 200.0;
+const CONDITIONS: usize = 32;
+/// Records in a page, and in the page that is read for each one that is wanted, at the most.
+const PAGE: usize = 400;
+const A_PAGE_FOR: usize = 16;
+/// A leader leads for so long, then nobody.
+const LED_S: f64 = 15.0;
+const UNLED_S: f64 = 6.0;
+/// The last node can't ask the state service in this part of the day.
+const CUT_OFF_S: std::ops::Range<f64> = 20.0..100.0;
+
+/// Who leads.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Leadership {
+    /// One node after the other, with spells without any.
+    Changes,
+    Nobody,
+}
+
+struct Node {
+    batcher: PollBatcher,
+    /// A call to the state service, and when its answer comes.
+    call: Option<(f64, StoreCall)>,
+    /// Whose polls it has: of users, or of another node by its number there.
+    asked: BTreeMap<u64, Asker>,
+}
+
+#[derive(Clone, Copy)]
+enum Asker {
+    User(usize),
+    /// A node that can't ask the state service.
+    Node {
+        node: usize,
+        number: u64,
+    },
+    /// A node that asks the leader first, for a user.
+    Follower {
+        node: usize,
+        job: usize,
+    },
+}
+
+/// A user's answer.
+pub struct Told {
+    pub job: usize,
+    pub answer: Answer,
+}
+
+pub struct Cluster {
+    pub now: f64,
+    pub service: StateService,
+    nodes: Vec<Node>,
+    leadership: Leadership,
+    cut_off: bool,
+    limits: Limits,
+    counter: u64,
+    told: Vec<Told>,
+    /// When requests were sent, for the last second, and the most in any second.
+    sent: VecDeque<f64>,
+    most_sent: usize,
+}
+
+impl Cluster {
+    pub fn new(seed: u64, jobs: usize, leadership: Leadership, cut_off: bool) -> Cluster {
+        let limits = Limits {
+            requests_per_s: 0.4 * RPS / NODES as f64,
+            conditions: CONDITIONS,
+            jobs: 10_000,
+        };
+        let node = |_| Node {
+            batcher: PollBatcher::new(limits),
+            call: None,
+            asked: BTreeMap::new(),
+        };
+        Cluster {
+            now: 0.0,
+            service: StateService::new(seed, RPS, jobs),
+            nodes: (0..NODES).map(node).collect(),
+            leadership,
+            cut_off,
+            limits,
+            counter: 0,
+            told: Vec::new(),
+            sent: VecDeque::new(),
+            most_sent: 0,
+        }
+    }
+
+    /// Polls that a node can compare in a second, each with two conditions.
+    pub fn polls_per_s(&self) -> f64 {
+        self.reads_per_s() * (CONDITIONS / 2) as f64
+    }
+
+    /// Half of a node's requests.
+    pub fn reads_per_s(&self) -> f64 {
+        self.limits.requests_per_s / 2.0
+    }
+
+    /// Requests that read all records of one kind: full pages, or as many as it takes for few.
+    pub fn pages(&self, jobs: usize) -> usize {
+        jobs.div_ceil(PAGE) + PAGE / A_PAGE_FOR
+    }
+
+    /// What the nodes may send in a second, together.
+    pub fn requests_share(&self) -> f64 {
+        self.limits.requests_per_s * NODES as f64
+    }
+
+    pub fn most_requests_in_a_second(&self) -> usize {
+        self.most_sent
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let turn_s = LED_S + UNLED_S;
+        let (turn, within) = ((self.now / turn_s) as usize, self.now % turn_s);
+        let leads = self.leadership == Leadership::Changes && within < LED_S;
+        leads.then_some(turn % NODES)
+    }
+
+    fn is_cut_off(&self, node: usize) -> bool {
+        self.cut_off && node == NODES - 1 && CUT_OFF_S.contains(&self.now)
+    }
+
+    /// A user asks a node, which asks the leader, if there is one.
+    pub fn ask(&mut self, node: usize, job: usize) {
+        let user = Asker::User(job);
+        match self.leader() {
+            Some(leader) if leader == node => {
+                self.ask_batcher(node, job, self.picture(job), user);
+            }
+            Some(leader) => {
+                let follower = Asker::Follower { node, job };
+                self.ask_batcher(leader, job, self.picture(job), follower);
+            }
+            None => self.ask_batcher(node, job, None, user),
+        }
+    }
+
+    /// What a leader knows of an open job.
+    fn picture(&self, job: usize) -> Option<JobStatus> {
+        let is_known = jobs::is_submitted(job) && !self.service.ends.contains_key(&job);
+        is_known.then(|| JobStatus {
+            id: jobs::id_of(job),
+            state: JobState::Running,
+            done: 0,
+            running: 1,
+        })
+    }
+
+    fn ask_batcher(&mut self, node: usize, job: usize, shown: Option<JobStatus>, asker: Asker) {
+        self.counter += 1;
+        let poll = Poll {
+            job: jobs::id_of(job),
+            shown,
+        };
+        let number = self.counter;
+        self.nodes[node].asked.insert(number, asker);
+        let effects = self.nodes[node].batcher.ask(number, poll, self.now);
+        self.carry_out(node, effects);
+    }
+
+    /// Answers that users have got since the last call.
+    pub fn take_told(&mut self) -> Vec<Told> {
+        std::mem::take(&mut self.told)
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP_S;
+        self.service.pass(STEP_S, self.now);
+        for node in 0..NODES {
+            self.receive(node);
+            let effects = self.nodes[node].batcher.next(self.now);
+            self.carry_out(node, effects);
+        }
+    }
+
+    fn receive(&mut self, node: usize) {
+        let is_due = |call: &mut (f64, StoreCall)| call.0 <= self.now;
+        let Some((_, call)) = self.nodes[node].call.take_if(is_due) else {
+            return;
+        };
+        let answer = match (self.is_cut_off(node), &call) {
+            (false, _) => self.service.answer(&call, self.now),
+            (true, StoreCall::Commit(_)) => StoreAnswer::Committed(Outcome::Refused),
+            (true, StoreCall::Read(_)) => {
+                StoreAnswer::Read(Err(stairstage::bookkeeping::store::Unavailable))
+            }
+            (true, StoreCall::List { .. }) => {
+                StoreAnswer::Listed(Err(stairstage::bookkeeping::store::Unavailable))
+            }
+        };
+        let effects = self.nodes[node].batcher.on(answer, self.now);
+        self.carry_out(node, effects);
+    }
+
+    fn carry_out(&mut self, node: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Store(call) => self.send(node, call),
+                Effect::Ended(..) => {}
+                Effect::Answer(number, answer) => {
+                    let asker = self.nodes[node].asked.remove(&number).expect("was asked");
+                    self.answer(asker, answer);
+                }
+                Effect::HandOn(number) => self.hand_on(node, number),
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, call: StoreCall) {
+        self.sent.push_back(self.now);
+        self.sent.retain(|at| *at > self.now - 1.0);
+        self.most_sent = self.most_sent.max(self.sent.len());
+        self.counter += 1;
+        let takes_s = match self.counter % SLOW_EVERY {
+            0 => SLOW_CALL_S,
+            _ => CALL_S,
+        };
+        self.nodes[node].call = Some((self.now + takes_s, call));
+    }
+
+    /// One that can't ask the state service asks the next node, once.
+    fn hand_on(&mut self, node: usize, number: u64) {
+        match self.nodes[node].asked[&number] {
+            Asker::User(job) => {
+                let asker = Asker::Node { node, number };
+                self.ask_batcher((node + 1) % NODES, job, None, asker);
+            }
+            asker @ (Asker::Node { .. } | Asker::Follower { .. }) => {
+                self.nodes[node].asked.remove(&number);
+                self.answer(asker, Answer::Later(Reason::NoStateService));
+            }
+        }
+    }
+
+    fn answer(&mut self, asker: Asker, answer: Answer) {
+        match asker {
+            Asker::User(job) => self.told.push(Told { job, answer }),
+            // What the leader can't answer now, the node looks up itself.
+            Asker::Follower { node, job } if answer.status() == 503 => {
+                self.ask_batcher(node, job, None, Asker::User(job));
+            }
+            Asker::Follower { job, .. } => self.told.push(Told { job, answer }),
+            Asker::Node { node, number } => {
+                let first = self.nodes[node].asked.remove(&number).expect("was asked");
+                self.answer(first, answer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/polls/state_service.rs
@@ -0,0 +1,163 @@
+//! A state service with a limit on requests, which others use for the most part.
+
+use crate::jobs;
+use crate::random::SplitMix64;
+use serde_json::Value;
+use stairstage::bookkeeping::budget::Budget;
+use stairstage::bookkeeping::records::{end_key, open_key};
+use stairstage::bookkeeping::store::Outcome;
+use stairstage::coordination::requests::{StoreAnswer, StoreCall};
+use stairstage::protocol::job::JobState;
+use stairstage::protocol::store::{Item, Page, Transaction};
+use std::collections::BTreeMap;
+
+/// Jobs that end in a second.
+const ENDS_PER_S: f64 = 10.0;
+/// What others ask for in a second, as a share of the requests: the leader's records and lease, and
+/// what users submit and cancel.
+const OTHERS_SHARE: f64 = 0.9;
+
+pub struct StateService {
+    values: BTreeMap<String, (Value, u64)>,
+    revision: u64,
+    requests: Budget,
+    rps: f64,
+    /// How jobs have ended.
+    pub ends: BTreeMap<usize, JobState>,
+    random: SplitMix64,
+    others: f64,
+    ends_due: f64,
+    open: Vec<usize>,
+}
+
+impl StateService {
+    pub fn new(seed: u64, rps: f64, jobs: usize) -> StateService {
+        let mut service = StateService {
+            values: BTreeMap::new(),
+            revision: 0,
+            requests: Budget::new(rps, rps),
+            rps,
+            ends: BTreeMap::new(),
+            random: SplitMix64(seed),
+            others: 0.0,
+            ends_due: 0.0,
+            open: Vec::new(),
+        };
+        for number in (0..jobs).filter(|number| jobs::is_submitted(*number)) {
+            service.write(open_key(&jobs::id_of(number)), jobs::record_of(number));
+            service.open.push(number);
+        }
+        service
+    }
+
+    fn write(&mut self, key: String, value: Value) {
+        self.revision += 1;
+        self.values.insert(key, (value, self.revision));
+    }
+
+    /// Others ask for their part, and jobs end.
+    pub fn pass(&mut self, seconds: f64, now: f64) {
+        self.others += OTHERS_SHARE * self.rps * seconds;
+        while self.others >= 1.0 {
+            self.others -= 1.0;
+            self.requests.take(now, 1.0);
+        }
+        self.ends_due += ENDS_PER_S * seconds;
+        while self.ends_due >= 1.0 {
+            self.ends_due -= 1.0;
+            self.end_one();
+        }
+    }
+
+    /// One of the open jobs ends, unless it waits for one that is open; with a cancelled one, what
+    /// waits for it ends at once.
+    fn end_one(&mut self) {
+        let Some(index) =
+            (!self.open.is_empty()).then(|| self.random.next() as usize % self.open.len())
+        else {
+            return;
+        };
+        let number = self.open[index];
+        let needed = jobs::waits_on(number);
+        if needed.is_some_and(|needed| self.open.contains(&needed)) {
+            return;
+        }
+        let (state, value) = jobs::end_of(&mut self.random);
+        self.record_end(number, state, &value);
+        let dependent = number + 1;
+        let waits = jobs::waits_on(dependent) == Some(number) && self.open.contains(&dependent);
+        if state == JobState::Cancelled && waits {
+            self.record_end(dependent, state, &value);
+        }
+    }
+
+    fn record_end(&mut self, number: usize, state: JobState, value: &Value) {
+        self.open.retain(|open| *open != number);
+        self.values.remove(&open_key(&jobs::id_of(number)));
+        self.write(end_key(&jobs::id_of(number)), value.clone());
+        self.ends.insert(number, state);
+    }
+
+    /// Answers a node's call, or refuses it as one too many.
+    pub fn answer(&mut self, call: &StoreCall, now: f64) -> StoreAnswer {
+        let allowed = self.requests.take(now, 1.0);
+        match call {
+            StoreCall::Read(key) => StoreAnswer::Read(match allowed {
+                true => Ok(self.item(key)),
+                false => Err(stairstage::bookkeeping::store::Unavailable),
+            }),
+            StoreCall::List {
+                under,
+                after,
+                limit,
+            } => StoreAnswer::Listed(match allowed {
+                true => Ok(self.page(under, after, *limit)),
+                false => Err(stairstage::bookkeeping::store::Unavailable),
+            }),
+            StoreCall::Commit(transaction) => StoreAnswer::Committed(match allowed {
+                true => self.compare(transaction),
+                false => Outcome::Limited,
+            }),
+        }
+    }
+
+    fn item(&self, key: &str) -> Option<Item> {
+        let (value, version) = self.values.get(key)?.clone();
+        let key = key.to_string();
+        Some(Item {
+            key,
+            value,
+            version,
+        })
+    }
+
+    fn page(&self, under: &str, after: &str, limit: usize) -> Page {
+        let keys = self.values.range(after.to_string()..).map(|(key, _)| key);
+        let keys = keys.filter(|key| key.as_str() > after && key.starts_with(under));
+        let mut items: Vec<Item> = keys
+            .take(limit + 1)
+            .filter_map(|key| self.item(key))
+            .collect();
+        let more = items.len() > limit;
+        items.truncate(limit);
+        Page {
+            items,
+            more,
+            revision: self.revision,
+        }
+    }
+
+    fn compare(&self, transaction: &Transaction) -> Outcome {
+        assert!(transaction.changes.is_empty(), "polls write nothing");
+        let version = |key: &String| self.values.get(key).map_or(0, |value| value.1);
+        let conditions = transaction.conditions.iter();
+        let failed: Vec<String> = conditions
+            .filter(|condition| version(&condition.key) != condition.version)
+            .map(|condition| condition.key.clone())
+            .collect();
+        match failed.is_empty() {
+            true => Outcome::Applied(self.revision),
+            false => Outcome::Conflict(failed),
+        }
+    }
+}
--- /dev/null
+++ b/tests/polls/users.rs
@@ -0,0 +1,122 @@
+//! Users who ask about their jobs again and again, and hold the answers against the records.
+
+use crate::jobs;
+use crate::nodes::{Cluster, Told, NODES};
+use crate::random::SplitMix64;
+use stairstage::coordination::requests::Answer;
+use stairstage::protocol::job::JobState;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Seconds from an answer to the next question.
+pub const PERIOD_S: f64 = 5.0;
+/// No user waits longer for a response.
+const RESPONSE_S: f64 = 2.0;
+
+struct User {
+    asked_at: f64,
+    /// Since when it has had no answer.
+    since: f64,
+    longest_wait_s: f64,
+    /// What it was told last.
+    end: Option<JobState>,
+}
+
+pub struct Users {
+    users: Vec<User>,
+    /// Who asks next, and when, in milliseconds.
+    questions: BTreeSet<(u64, usize)>,
+    random: SplitMix64,
+    counts: BTreeMap<u16, usize>,
+}
+
+impl Users {
+    pub fn new(seed: u64, jobs: usize) -> Users {
+        let first = |number: usize| PERIOD_S * number as f64 / jobs as f64;
+        let user = |number| User {
+            asked_at: 0.0,
+            since: first(number),
+            longest_wait_s: 0.0,
+            end: None,
+        };
+        Users {
+            users: (0..jobs).map(user).collect(),
+            questions: (0..jobs).map(|n| (in_ms(first(n)), n)).collect(),
+            random: SplitMix64(seed),
+            counts: BTreeMap::new(),
+        }
+    }
+
+    pub fn longest_wait_s(&self) -> f64 {
+        let waits = self.users.iter().map(|user| user.longest_wait_s);
+        waits.fold(0.0, f64::max)
+    }
+
+    pub fn counts(&self) -> &BTreeMap<u16, usize> {
+        &self.counts
+    }
+
+    pub fn step(&mut self, cluster: &mut Cluster) {
+        for told in cluster.take_told() {
+            self.told(&told, cluster);
+        }
+        while self
+            .questions
+            .first()
+            .is_some_and(|q| q.0 <= in_ms(cluster.now))
+        {
+            let Some((_, number)) = self.questions.pop_first() else {
+                return;
+            };
+            let user = &mut self.users[number];
+            user.asked_at = cluster.now;
+            user.waited_until(cluster.now);
+            let node = self.random.next() as usize % NODES;
+            cluster.ask(node, number);
+        }
+    }
+
+    fn told(&mut self, told: &Told, cluster: &Cluster) {
+        let status = told.answer.status();
+        *self.counts.entry(status).or_default() += 1;
+        let user = &mut self.users[told.job];
+        let waited = cluster.now - user.asked_at;
+        assert!(waited <= RESPONSE_S, "job {}: {waited} s", told.job);
+        let retry_after = told.answer.retry_after().map_or(0.0, f64::from);
+        user.waited_until(cluster.now);
+        let asks_at = cluster.now + PERIOD_S.max(retry_after);
+        self.questions.insert((in_ms(asks_at), told.job));
+        match &told.answer {
+            Answer::Known(status) => {
+                user.is_told(told.job, status.state, cluster);
+                user.since = cluster.now;
+            }
+            Answer::NotFound => {
+                assert!(!jobs::is_submitted(told.job), "forgotten: {}", told.job);
+                user.since = cluster.now;
+            }
+            Answer::Later(_) => assert!(retry_after >= 1.0),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn in_ms(seconds: f64) -> u64 {
+    (seconds * 1000.0) as u64
+}
+
+impl User {
+    fn waited_until(&mut self, now: f64) {
+        self.longest_wait_s = self.longest_wait_s.max(now - self.since);
+    }
+
+    fn is_told(&mut self, job: usize, state: JobState, cluster: &Cluster) {
+        assert!(jobs::is_submitted(job), "invented: {job}");
+        let recorded = cluster.service.ends.get(&job).copied();
+        if state.is_end() {
+            assert_eq!(Some(state), recorded, "job {job}");
+            self.end = Some(state);
+        }
+        let went_back = self.end.is_some_and(|end| end != state);
+        assert!(!went_back, "went_back: {job} is told {state:?}");
+    }
+}
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -22,6 +22,7 @@
 use schedule::Troubles;
 use stairstage::bookkeeping::records::{end_key, EndRecord};
 use stairstage::bookkeeping::store::{Outcome, Unavailable};
+use stairstage::coordination::requests::polls::{self, Limits, Poll, PollBatcher};
 use stairstage::coordination::requests::{
     Answer, Context, Effect, Event, Located, PeerAnswer, Request, StoreAnswer, StoreCall,
 };
@@ -192,6 +193,22 @@
     matches!(effects, [Effect::Store(StoreCall::Read(_))])
 }
 
+fn batcher() -> PollBatcher {
+    PollBatcher::new(Limits::of(&context(false).settings))
+}
+
+fn look_up_of(effects: Vec<Effect>) -> Poll {
+    match effects.into_iter().next() {
+        Some(Effect::LookUp(poll)) => poll,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn compares(effects: &[polls::Effect]) -> bool {
+    matches!(effects, [polls::Effect::Store(StoreCall::Commit(transaction))]
+        if transaction.changes.is_empty())
+}
+
 /// The status, where the request is answered.
 fn status_of(effects: &[Effect]) -> Option<u16> {
     match effects {
@@ -231,17 +248,30 @@
     let (mut request, _) = Request::cancellation(jobs::id_of(0), context(true));
     assert_eq!(status_of(&request.on(unavailable())), Some(503));
     let (mut request, _) = Request::query(jobs::id_of(0), context(true));
-    let reads = request.on(located_elsewhere());
-    assert!(reads_store(&reads), "{reads:?}");
+    let looks_up = request.on(located_elsewhere());
+    assert!(matches!(looks_up[..], [Effect::LookUp(_)]), "{looks_up:?}");
+    let (_, refused) = Request::refused_query(jobs::id_of(0), context(true));
+    assert_eq!(status_of(&refused), Some(503));
 }
 
 #[test]
 fn a_leader_that_cannot_answer_now_is_no_answer() {
     let (mut request, _) = Request::query(jobs::id_of(0), context(false));
     assert!(asks(&request.on(located_elsewhere()), "n1"));
-    let reads = request.on(not_now());
-    assert!(reads_store(&reads), "{reads:?}");
-    assert!(asks(&request.on(unavailable()), "n1"));
+    let poll = look_up_of(request.on(not_now()));
+    assert_eq!(poll.shown, None);
+    let mut batcher = batcher();
+    assert!(batcher.ask(1, poll, 0.0).is_empty());
+    assert!(compares(&batcher.next(0.0)));
+    let refused = batcher.on(StoreAnswer::Committed(Outcome::Refused), 0.0);
+    assert!(
+        matches!(refused[..], [polls::Effect::HandOn(1)]),
+        "{refused:?}"
+    );
+    let (mut request, asked) = Request::refused_query(jobs::id_of(0), context(false));
+    assert!(asks(&asked, "n1"));
+    assert!(asks(&request.on(not_now()), "n2"));
+    assert_eq!(status_of(&request.on(not_now())), Some(503));
 }
 
 #[test]
@@ -252,13 +282,27 @@
         leads: true,
         leader: None,
     };
-    let nothing = || Event::Store(StoreAnswer::Read(Ok(None)));
-    request.on(Event::Located(Some(located)));
-    request.on(nothing());
-    let told = request.on(cancellation_read(&jobs::id_of(0)));
+    let job = jobs::id_of(0);
+    let poll = look_up_of(request.on(Event::Located(Some(located))));
+    let mut batcher = batcher();
+    assert!(batcher.ask(1, poll, 0.0).is_empty());
+    assert!(compares(&batcher.next(0.0)));
+    let present = Outcome::Conflict(vec![end_key(&job)]);
+    let nothing_yet = batcher.on(StoreAnswer::Committed(present), 0.0);
+    assert!(nothing_yet.is_empty(), "{nothing_yet:?}");
+    let reads = batcher.next(0.0);
+    assert!(matches!(&reads[..],
+        [polls::Effect::Store(StoreCall::Read(key))] if *key == end_key(&job)));
+    let Event::Store(answer) = cancellation_read(&job) else {
+        unreachable!();
+    };
+    let told = batcher.on(answer, 0.0);
     let in_order = matches!(
         &told[..],
-        [Effect::Ended(_), Effect::Answer(Answer::Known(_))]
+        [
+            polls::Effect::Ended(_, JobState::Cancelled),
+            polls::Effect::Answer(1, Answer::Known(_))
+        ]
     );
     assert!(in_order, "{told:?}");
 }
--- a/tests/requests/parts.rs
+++ b/tests/requests/parts.rs
@@ -3,10 +3,10 @@
 use crate::rules::{Kind, Question};
 use stairstage::bookkeeping::index::EndIndex;
 use stairstage::coordination::core::Core;
-use stairstage::coordination::requests::polls::Confirmation;
+use stairstage::coordination::requests::polls::PollBatcher;
 use stairstage::coordination::requests::{Request, StoreCall};
-use stairstage::protocol::job::JobStatus;
 use stairstage::protocol::store::Transaction;
+use std::collections::BTreeMap;
 
 /// What becomes of a call, or of a request that is handed to another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,8 +30,9 @@
     pub refused: bool,
     /// Whether the cloud has told it of small machines only, which no job fits.
     pub small_types: bool,
-    /// Polls that wait to be confirmed.
-    pub polls: Vec<(Origin, JobStatus)>,
+    /// What answers its polls, and who gets the answers.
+    pub batcher: PollBatcher,
+    pub polls: BTreeMap<u64, (u8, Origin)>,
     /// Transactions of it that were carried out.
     pub applied: usize,
 }
@@ -48,8 +49,8 @@
 
 pub enum Machine {
     Request(Box<Request>, Kind, Origin),
-    /// With the job that each poll asks about, and who gets its answer.
-    Confirmation(Confirmation, Vec<(u8, Origin)>),
+    /// A call of the node's batcher of polls.
+    Batch,
 }
 
 /// What a machine waits for.
--- a/tests/requests/world.rs
+++ b/tests/requests/world.rs
@@ -7,12 +7,12 @@
 use crate::seen::Seen;
 use stairstage::bookkeeping::index::EndIndex;
 use stairstage::bookkeeping::store::{Outcome, Unavailable};
-use stairstage::coordination::requests::polls::{self, Confirmation};
+use stairstage::coordination::requests::polls::{self, Limits, PollBatcher};
 use stairstage::coordination::requests::{
     Answer, Context, Effect, Event, PeerAnswer, Request, StoreAnswer, StoreCall,
 };
-use stairstage::protocol::job::{JobState, JobStatus};
-use stairstage::protocol::store::Transaction;
+use stairstage::protocol::job::JobState;
+use stairstage::protocol::store::{Page, Transaction};
 use stairstage::settings::Settings;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -32,6 +32,8 @@
     running: BTreeMap<u64, Running>,
     late: Vec<LateWrite>,
     counter: u64,
+    /// The batchers' clock.
+    now: f64,
 }
 
 pub fn name_of(node: usize) -> String {
@@ -42,18 +44,27 @@
     name[1..].parse().unwrap()
 }
 
+/// Seconds from one look of a batcher to its next.
+const TICK_S: f64 = 0.05;
+/// A node that could not ask the state service tries again within so many seconds.
+const MOMENT_S: f64 = 1.0;
+/// Keys in a page of a list: few, so that there are several pages.
+const PAGE: usize = 2;
+
 fn job_of(id: &str) -> Option<u8> {
     id.strip_prefix("req-")?.parse().ok()
 }
 
 impl World {
     pub fn new() -> World {
+        let settings = Arc::new(Settings::parse("test", common::SETTINGS).unwrap());
         let node = |_| Node {
             ends: EndIndex::new(ENDS_KEPT),
             leader: Some(0),
             refused: false,
             small_types: false,
-            polls: Vec::new(),
+            batcher: PollBatcher::new(Limits::of(&settings)),
+            polls: BTreeMap::new(),
             applied: 0,
         };
         let mut world = World {
@@ -63,7 +74,8 @@
             seen: Seen::default(),
             close_looks: false,
             leader: None,
-            settings: Arc::new(Settings::parse("test", common::SETTINGS).unwrap()),
+            settings,
+            now: 0.0,
             running: BTreeMap::new(),
             late: Vec::new(),
             counter: 0,
@@ -142,9 +154,9 @@
                     let job = self.running[&key].job.unwrap();
                     self.ended(node, job, state);
                 }
-                Effect::Confirm(status) => {
+                Effect::LookUp(poll) => {
                     let origin = self.finish(key);
-                    self.nodes[node].polls.push((origin, status));
+                    self.look_up(node, poll, origin);
                 }
                 Effect::Answer(answer) => {
                     let origin = self.finish(key);
@@ -154,27 +166,47 @@
         }
     }
 
-    fn confirmation_effects(&mut self, key: u64, effects: Vec<polls::Effect>) {
+    fn look_up(&mut self, node: usize, poll: polls::Poll, origin: Origin) {
+        self.counter += 1;
+        let (number, now) = (self.counter, self.now);
+        let job = job_of(&poll.job).unwrap();
+        let node_parts = &mut self.nodes[node];
+        node_parts.polls.insert(number, (job, origin));
+        let effects = node_parts.batcher.ask(number, poll, now);
+        self.batcher_effects(node, effects);
+    }
+
+    fn batcher_effects(&mut self, node: usize, effects: Vec<polls::Effect>) {
         for effect in effects {
-            let running = self.running.get_mut(&key).unwrap();
-            let node = running.node;
-            let Machine::Confirmation(_, polls) = &mut running.machine else {
-                panic!("not a confirmation");
-            };
             match effect {
-                polls::Effect::Store(call) => running.waiting = Waiting::Store(call),
-                polls::Effect::Ended(poll, state) => {
-                    let job = polls[poll].0;
-                    self.ended(node, job, state);
+                polls::Effect::Store(call) => {
+                    self.run(node, None, Machine::Batch, |world, key| {
+                        world.wait(key, Waiting::Store(call));
+                    });
                 }
-                polls::Effect::Answer(poll, answer) => {
-                    let origin = std::mem::replace(&mut polls[poll].1, Origin::Nobody);
+                polls::Effect::Ended(id, state) => self.ended(node, job_of(&id).unwrap(), state),
+                polls::Effect::Answer(number, answer) => {
+                    let (_, origin) = self.nodes[node].polls.remove(&number).unwrap();
                     self.answer(origin, answer);
                 }
+                polls::Effect::HandOn(number) => {
+                    let (job, origin) = self.nodes[node].polls.remove(&number).unwrap();
+                    self.hand_poll_on(node, job, origin);
+                }
             }
         }
     }
 
+    /// A poll for which its node can't ask the state service.
+    fn hand_poll_on(&mut self, node: usize, job: u8, origin: Origin) {
+        let context = self.context(node, !matches!(origin, Origin::User(_)));
+        let (request, effects) = Request::refused_query(id_of(job), context);
+        let machine = Machine::Request(Box::new(request), Kind::Query, origin);
+        self.run(node, Some(job), machine, |world, key| {
+            world.request_effects(key, effects);
+        });
+    }
+
     fn wait(&mut self, key: u64, waiting: Waiting) {
         self.running.get_mut(&key).unwrap().waiting = waiting;
     }
@@ -185,7 +217,7 @@
         self.seen.finished(key);
         match running.machine {
             Machine::Request(_, _, origin) => origin,
-            Machine::Confirmation(..) => Origin::Nobody,
+            Machine::Batch => Origin::Nobody,
         }
     }
 
@@ -224,15 +256,13 @@
                 );
                 self.request_effects(key, effects);
             }
-            (Machine::Confirmation(confirmation, _), Event::Store(answer)) => {
-                let effects = confirmation.on(answer);
-                let goes_on = matches!(effects.last(), Some(polls::Effect::Store(_)));
-                self.confirmation_effects(key, effects);
-                if !goes_on {
-                    self.finish(key);
-                }
+            (Machine::Batch, Event::Store(answer)) => {
+                let node = self.running[&key].node;
+                self.finish(key);
+                let effects = self.nodes[node].batcher.on(answer, self.now);
+                self.batcher_effects(node, effects);
             }
-            (Machine::Confirmation(..), event) => panic!("{event:?} for a confirmation"),
+            (Machine::Batch, event) => panic!("{event:?} for a batcher"),
         }
     }
 
@@ -290,6 +320,11 @@
                 let item = answered.then(|| self.store.item(&key));
                 StoreAnswer::Read(item.ok_or(Unavailable))
             }
+            StoreCall::List { under, after, .. } => {
+                let answered = fate == Fate::Answered && !refused;
+                let page = answered.then(|| self.page(&under, &after));
+                StoreAnswer::Listed(page.ok_or(Unavailable))
+            }
             StoreCall::Commit(_) if refused => {
                 self.seen.refused += 1;
                 StoreAnswer::Committed(Outcome::Refused)
@@ -300,6 +335,18 @@
         }
     }
 
+    fn page(&self, under: &str, after: &str) -> Page {
+        let mut items = self.store.under(under);
+        items.retain(|item| item.key.as_str() > after);
+        let more = items.len() > PAGE;
+        items.truncate(PAGE);
+        Page {
+            items,
+            more,
+            revision: self.store.revision,
+        }
+    }
+
     pub fn commit(
         &mut self,
         by: u64,
@@ -357,25 +404,18 @@
         self.seen.late_write(applied, is_newer, is_given_up);
     }
 
-    /// All polls that wait at a node are confirmed together.
+    /// The polls that wait at a node are looked up, a while later.
     pub fn confirm(&mut self, node: usize) {
-        let waiting = std::mem::take(&mut self.nodes[node].polls);
-        if waiting.is_empty() {
-            return;
-        }
-        let (origins, polls): (Vec<_>, Vec<JobStatus>) = waiting.into_iter().unzip();
-        let jobs = polls.iter().map(|status| job_of(&status.id).unwrap());
-        let asked = jobs.zip(origins).collect();
-        let (confirmation, effects) = Confirmation::begin(polls);
-        let machine = Machine::Confirmation(confirmation, asked);
-        self.run(node, None, machine, |world, key| {
-            world.confirmation_effects(key, effects);
-        });
+        self.now += TICK_S;
+        let effects = self.nodes[node].batcher.next(self.now);
+        self.batcher_effects(node, effects);
     }
 
-    /// All troubles end: what is under way is finished, and what was late is carried out.
+    /// All troubles end: what is under way is finished, and what was late is carried out. Nodes ask
+    /// the state service again after a moment.
     pub fn settle(&mut self) {
         self.close_looks = false;
+        self.now += MOMENT_S;
         for node in &mut self.nodes {
             node.refused = false;
         }
@@ -401,7 +441,8 @@
             (0..NODES).for_each(|node| self.confirm(node));
             let waits = |r: &&u64| !matches!(self.running[r].waiting, Waiting::Child);
             let keys: VecDeque<u64> = self.running.keys().filter(waits).copied().collect();
-            if keys.is_empty() {
+            let idle = |node: &Node| node.polls.is_empty() && node.batcher.pause_s().is_none();
+            if keys.is_empty() && self.nodes.iter().all(idle) {
                 return;
             }
             for key in keys {
