What the state service limits is not asked of other nodes; polls wait no longer for a 429

Cause: a submission that met a 429 was handed to both other nodes, which met it too: three refused changes for one, beside the leader's. A poll refused as one too many could wait beyond its patience.

Change: a 429 ends a submission or cancellation with Retry-After at once. Polls that come back from a comparison count from when they came.

--- a/src/coordination/requests/acceptance.rs
+++ b/src/coordination/requests/acceptance.rs
@@ -1,10 +1,10 @@
 //! Accepting a job by writing its first record.
 
 use super::lookup::Lookup;
-use super::steps::{Progress, Step, StoreAnswer, StoreCall};
+use super::steps::{Progress, Step, Stop, StoreAnswer, StoreCall};
 use super::TRIES;
 use crate::bookkeeping::records::{end_key, open_key};
-use crate::bookkeeping::store::{Outcome, Unavailable};
+use crate::bookkeeping::store::Outcome;
 use crate::protocol::job::JobStatus;
 use crate::protocol::store::Transaction;
 use serde_json::Value;
@@ -59,11 +59,10 @@
                 self.tries += 1;
                 Ok(Step::Call(self.commit()))
             }
-            Outcome::Unknown
-            | Outcome::Refused
-            | Outcome::Limited
-            | Outcome::TooLarge
-            | Outcome::NoLease => Err(Unavailable),
+            Outcome::Limited => Err(Stop::Limited),
+            Outcome::Unknown | Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => {
+                Err(Stop::Unavailable)
+            }
         }
     }
 }
--- a/src/coordination/requests/answers.rs
+++ b/src/coordination/requests/answers.rs
@@ -11,6 +11,8 @@
 pub enum Reason {
     Busy,
     NoStateService,
+    /// The state service is asked for more than it does.
+    StateServiceLimit,
     /// The machine types are not known yet.
     NoMachineTypes,
     /// Its acceptance has met another that is not to be seen yet.
@@ -51,6 +53,7 @@
         match self {
             Reason::Busy => "too much is asked at once",
             Reason::NoStateService => "the state service is not reached",
+            Reason::StateServiceLimit => "more is asked than the state service does",
             Reason::NoMachineTypes => "the machine types are not known yet",
             Reason::JustAccepted => "the job is just being accepted",
             Reason::TooManyPolls { .. } => "more is asked than can be looked up now",
--- a/src/coordination/requests/cancellation.rs
+++ b/src/coordination/requests/cancellation.rs
@@ -2,10 +2,10 @@
 //! cleared the job's places.
 
 use super::lookup::Lookup;
-use super::steps::{Progress, Step, StoreAnswer, StoreCall};
+use super::steps::{Progress, Step, Stop, StoreAnswer, StoreCall};
 use super::{Answer, Context, TRIES};
 use crate::bookkeeping::records::{end_key, open_key, EndRecord, OpenRecord};
-use crate::bookkeeping::store::{Outcome, Unavailable};
+use crate::bookkeeping::store::Outcome;
 use crate::protocol::job::{JobState, JobStatus};
 use crate::protocol::store::Transaction;
 
@@ -94,15 +94,14 @@
             Outcome::Applied(_) => Ok(self.cancelled()),
             // Ended meanwhile, or cancelled by a try whose answer was lost.
             Outcome::Conflict(_) | Outcome::Unknown => self.retry(),
-            Outcome::Refused | Outcome::Limited | Outcome::TooLarge | Outcome::NoLease => {
-                Err(Unavailable)
-            }
+            Outcome::Limited => Err(Stop::Limited),
+            Outcome::Refused | Outcome::TooLarge | Outcome::NoLease => Err(Stop::Unavailable),
         }
     }
 
     fn retry(&mut self) -> Progress<Answer> {
         if self.tries == TRIES {
-            return Err(Unavailable);
+            return Err(Stop::Unavailable);
         }
         self.tries += 1;
         self.stage = Stage::ReadingOpen;
--- a/src/coordination/requests/lookup.rs
+++ b/src/coordination/requests/lookup.rs
@@ -1,7 +1,7 @@
 //! What the records of the state service say of a job.
 
 use super::answers::without_counts;
-use super::steps::{Progress, Step, StoreAnswer, StoreCall};
+use super::steps::{Progress, Step, Stop, StoreAnswer, StoreCall};
 use crate::bookkeeping::records::{end_key, open_key, EndRecord, OpenRecord};
 use crate::bookkeeping::store::Unavailable;
 use crate::protocol::job::{JobState, JobStatus};
@@ -65,7 +65,7 @@
     fn needs_followed(&self, cancelled: Step<bool>) -> Progress<Option<JobStatus>> {
         match cancelled {
             Step::Call(call) => Ok(Step::Call(call)),
-            Step::Finished(true) => Err(Unavailable),
+            Step::Finished(true) => Err(Stop::Unavailable),
             Step::Finished(false) => Ok(self.found(JobState::Pending)),
         }
     }
@@ -86,7 +86,7 @@
 }
 
 impl Needs {
-    fn begin(left: Vec<String>) -> Result<(Needs, Step<bool>), Unavailable> {
+    fn begin(left: Vec<String>) -> Result<(Needs, Step<bool>), Stop> {
         let mut needs = Needs {
             left,
             followed: 0,
@@ -99,7 +99,7 @@
 
     fn next(&mut self) -> Progress<bool> {
         if self.followed == MOST_FOLLOWED {
-            return Err(Unavailable);
+            return Err(Stop::Unavailable);
         }
         let Some(job) = self.left.pop() else {
             return Ok(Step::Finished(false));
--- a/src/coordination/requests/mod.rs
+++ b/src/coordination/requests/mod.rs
@@ -28,14 +28,13 @@
 pub use steps::{StoreAnswer, StoreCall};
 
 use crate::bookkeeping::records::OpenRecord;
-use crate::bookkeeping::store::Unavailable;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobSpec, JobState, JobStatus};
 use crate::settings::Settings;
 use cancellation::Cancellation;
 use polls::Poll;
 use std::sync::Arc;
-use steps::{Progress, Step};
+use steps::{Progress, Step, Stop};
 use submission::Submission;
 
 /// How many times a transaction is committed that is not answered or meets a conflict.
@@ -250,7 +249,8 @@
         match progress {
             Ok(Step::Call(call)) => vec![Effect::Store(call)],
             Ok(Step::Finished(decision)) => self.decided(decision),
-            Err(Unavailable) => self.ask_others(0),
+            Err(Stop::Unavailable) => self.ask_others(0),
+            Err(Stop::Limited) => self.answer(Answer::Later(Reason::StateServiceLimit)),
         }
     }
 
--- a/src/coordination/requests/polls/mod.rs
+++ b/src/coordination/requests/polls/mod.rs
@@ -11,13 +11,14 @@
 
 mod comparison;
 mod known_jobs;
+mod overload;
 mod read_results;
 mod reads;
 mod retries;
 
 use super::answers::without_counts;
 use super::steps::{StoreAnswer, StoreCall};
-use super::{Answer, Reason};
+use super::Answer;
 use crate::bookkeeping::budget::Budget;
 use crate::bookkeeping::store::Outcome;
 use crate::coordination::Time;
@@ -123,6 +124,12 @@
     since: Time,
 }
 
+impl WaitingPoll {
+    fn overdue_at(&self) -> Time {
+        self.since + PATIENCE_S
+    }
+}
+
 /// A call to the state service that is not answered yet.
 enum Call {
     Compare(Comparison),
@@ -168,8 +175,7 @@
         if now < self.unreached_until {
             return vec![Effect::HandOn(number)];
         }
-        self.overdue_at = self.overdue_at.min(now + PATIENCE_S);
-        self.waiting.push(WaitingPoll {
+        self.wait(WaitingPoll {
             number,
             poll,
             since: now,
@@ -241,18 +247,14 @@
         Some(StoreCall::Commit(transaction))
     }
 
-    fn sort_by_rank(&self, polls: &mut [WaitingPoll]) {
-        let rank = |w: &WaitingPoll| self.retries.rank(&w.poll.job, w.since);
-        polls.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
-    }
-
     fn compared(&mut self, comparison: Comparison, outcome: Outcome, now: Time) -> Vec<Effect> {
         let present = match outcome {
             Outcome::Applied(_) => Vec::new(),
             Outcome::Conflict(present) => present,
             // One request too many: the next may be answered.
             Outcome::Limited => {
-                self.waiting.extend(comparison.into_polls());
+                let polls = comparison.into_polls().into_iter();
+                polls.for_each(|poll| self.wait(poll));
                 return Vec::new();
             }
             Outcome::Refused | Outcome::TooLarge | Outcome::NoLease | Outcome::Unknown => {
@@ -271,7 +273,13 @@
         effects
     }
 
+    fn wait(&mut self, poll: WaitingPoll) {
+        self.overdue_at = self.overdue_at.min(poll.overdue_at());
+        self.waiting.push(poll);
+    }
+
     fn read_for(&mut self, poll: WaitingPoll, read: Read) {
+        self.overdue_at = self.overdue_at.min(poll.overdue_at());
         self.reads.add(&read);
         self.reading.push((poll, read));
     }
@@ -296,55 +304,6 @@
         self.retries.answered(&poll.poll.job);
         Effect::Answer(poll.number, answer)
     }
-
-    fn turn_away(&mut self, poll: WaitingPoll, now: Time) -> Effect {
-        let retry_after_s = self.retries.turn_away(&poll.poll.job, now);
-        let reason = Reason::TooManyPolls { retry_after_s };
-        Effect::Answer(poll.number, Answer::Later(reason))
-    }
-
-    /// Those that have waited for too long; what is to be read for them still is.
-    fn turn_overdue_away(&mut self, now: Time) -> Vec<Effect> {
-        if now < self.overdue_at {
-            return Vec::new();
-        }
-        let is_overdue = |poll: &WaitingPoll| now >= poll.since + PATIENCE_S;
-        let (mut overdue, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(is_overdue);
-        self.waiting = waiting;
-        let (late, reading): (Vec<_>, Vec<_>) = std::mem::take(&mut self.reading)
-            .into_iter()
-            .partition(|(poll, _)| is_overdue(poll));
-        self.reading = reading;
-        overdue.extend(late.into_iter().map(|(poll, _)| poll));
-        let left = self
-            .waiting
-            .iter()
-            .chain(self.reading.iter().map(|(poll, _)| poll));
-        self.overdue_at = left
-            .map(|poll| poll.since + PATIENCE_S)
-            .fold(Time::INFINITY, Time::min);
-        let turned_away = overdue.into_iter();
-        turned_away.map(|poll| self.turn_away(poll, now)).collect()
-    }
-
-    /// More than can be compared within the patience of a poll: the last in order go at once.
-    fn turn_excess_away(&mut self, now: Time) -> Vec<Effect> {
-        let to_come = self.limits.requests_per_s * PATIENCE_S;
-        let requests = self.requests.level(now) + to_come;
-        let comparisons = (COMPARISONS_SHARE * requests).ceil() as usize;
-        let most = comparisons * (self.limits.conditions / 2).max(1);
-        if self.waiting.len() <= most {
-            return Vec::new();
-        }
-        let mut waiting = std::mem::take(&mut self.waiting);
-        self.sort_by_rank(&mut waiting);
-        let excess = waiting.split_off(most);
-        self.waiting = waiting;
-        let turned_away = excess.into_iter();
-        turned_away.map(|poll| self.turn_away(poll, now)).collect()
-    }
 }
 
 fn end_told(number: u64, job: &str, state: JobState) -> Vec<Effect> {
--- a/src/coordination/requests/polls/read_results.rs
+++ b/src/coordination/requests/polls/read_results.rs
@@ -72,7 +72,7 @@
                 Some(state) => state,
                 None if self.known.waits_for_nothing(&job) => JobState::Pending,
                 None => {
-                    self.waiting.push(poll);
+                    self.wait(poll);
                     continue;
                 }
             };
--- a/src/coordination/requests/prerequisites.rs
+++ b/src/coordination/requests/prerequisites.rs
@@ -1,9 +1,9 @@
 //! What has become of the jobs that a submission waits for.
 
 use super::lookup::{is_cancelled, Lookup};
-use super::steps::{Progress, Step, StoreAnswer, StoreCall};
+use super::steps::{Progress, Step, Stop, StoreAnswer, StoreCall};
 use crate::bookkeeping::records::{end_key, open_key};
-use crate::bookkeeping::store::{Outcome, Unavailable};
+use crate::bookkeeping::store::Outcome;
 use crate::protocol::job::JobSpec;
 use crate::protocol::store::Transaction;
 use std::collections::VecDeque;
@@ -95,7 +95,8 @@
                 self.present = match answer.outcome() {
                     Outcome::Conflict(present) => present,
                     Outcome::Applied(_) => Vec::new(),
-                    _ => return Err(Unavailable),
+                    Outcome::Limited => return Err(Stop::Limited),
+                    _ => return Err(Stop::Unavailable),
                 };
             }
             Stage::ReadingEnd => self.cancelled |= is_cancelled(answer)?,
--- a/src/coordination/requests/steps.rs
+++ b/src/coordination/requests/steps.rs
@@ -55,8 +55,23 @@
     Finished(T),
 }
 
-/// How a part of a request goes on; it ends when the state service is not to be had.
-pub(super) type Progress<T> = Result<Step<T>, Unavailable>;
+/// Why a part of a request can't go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stop {
+    /// The state service does not let this node do it; another may.
+    Unavailable,
+    /// The state service has been asked for more than it does, by whichever node.
+    Limited,
+}
+
+impl From<Unavailable> for Stop {
+    fn from(Unavailable: Unavailable) -> Stop {
+        Stop::Unavailable
+    }
+}
+
+/// How a part of a request goes on.
+pub(super) type Progress<T> = Result<Step<T>, Stop>;
 
 impl<T> Step<T> {
     pub(super) fn map<U>(self, of: impl FnOnce(T) -> U) -> Step<U> {
