Staged upgrades: cluster version, gates, members, fences, windows, and the operators' command

Need: nothing told which release runs where, and what is new was asked for on the operators' word.

Change: package crates/upgrade, free of clocks and sockets: versions, one gate (jobs that wait for others), records of members on leases, the plan with each reason, finalizing and aborting as steps that can be repeated, a policy with maintenance windows (time zones by jiff). The service keeps its record, names the version's stamp in what it writes, and withdraws from a version beyond its release. `stairstage upgrade status|plan|finalize|abort`. Not in it: a format that migrates, and the proof of an hour with production's processes.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+mod upgrade;
+
 use crate::{service, settings::Settings};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -7,6 +9,7 @@
 use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
+use upgrade::UpgradeCommand;
 
 /// A cluster scheduler: one leading controller, backfilling on learned run times.
 #[derive(Parser)]
@@ -22,6 +25,9 @@
     Serve(Files),
     /// Checks the settings and ends.
     Check(Files),
+    /// Staged upgrades of the controllers.
+    #[command(subcommand)]
+    Upgrade(UpgradeCommand),
 }
 
 #[derive(Args)]
@@ -32,35 +38,45 @@
     /// The operators' own settings (S-expressions).
     #[arg(long, value_name = "FILE")]
     policy: Option<PathBuf>,
+    /// How upgrades are staged (S-expressions); without it they are not.
+    #[arg(long, value_name = "FILE")]
+    upgrade: Option<PathBuf>,
 }
 
 const EXIT_SETTINGS: u8 = 2;
+const EXIT_REFUSED: u8 = 3;
 
 /// Runs the program and returns its exit code.
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (Command::Serve(files) | Command::Check(files)) = &cli.command;
-    let settings = match Settings::load(&files.config, files.policy.as_deref()) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("stairstage: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    match cli.command {
-        Command::Check(_) => {
+    match &cli.command {
+        Command::Check(files) => with_settings(files, |settings| {
             println!("settings of {} are valid", settings.name);
             ExitCode::SUCCESS
+        }),
+        Command::Serve(files) => with_settings(files, serve),
+        Command::Upgrade(command) => upgrade::run(command),
+    }
+}
+
+fn with_settings(files: &Files, run: impl FnOnce(Settings) -> ExitCode) -> ExitCode {
+    let (policy, upgrade) = (files.policy.as_deref(), files.upgrade.as_deref());
+    match Settings::load(&files.config, policy, upgrade) {
+        Ok(settings) => run(settings),
+        Err(error) => {
+            eprintln!("stairstage: {error}");
+            ExitCode::from(EXIT_SETTINGS)
         }
-        Command::Serve(_) => {
-            log_to_stderr();
-            match service::run(settings) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(error) => {
-                    tracing::error!("cannot start: {error:#}");
-                    ExitCode::FAILURE
-                }
-            }
+    }
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    log_to_stderr();
+    match service::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!("cannot start: {error:#}");
+            ExitCode::FAILURE
         }
     }
 }
--- /dev/null
+++ b/src/cli/upgrade.rs
@@ -0,0 +1,178 @@
+//! `stairstage upgrade`: what operators see of an upgrade, and how they finalize or abort it.
+
+use super::{EXIT_REFUSED, EXIT_SETTINGS};
+use crate::bookkeeping::store::Store;
+use crate::service::controller::wall_ms;
+use crate::service::upgrade::records;
+use crate::settings::Settings;
+use clap::{Args, Subcommand, ValueEnum};
+use stairstage_upgrade::operation::{Outcome, Request};
+use stairstage_upgrade::plan::{Asked, Plan};
+use stairstage_upgrade::status::Status;
+use stairstage_upgrade::{Hold, Snapshot, UpgradePolicy};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// What to do about an upgrade.
+#[derive(Subcommand)]
+pub enum UpgradeCommand {
+    /// Tells who runs which release, the active version, and what holds the next one up.
+    Status(UpgradeFiles),
+    /// Tells whether `finalize` would raise the version now, and every reason why not.
+    Plan(UpgradeFiles),
+    /// Raises the cluster version by one. There is no way back.
+    Finalize(UpgradeFiles),
+    /// Calls the upgrade to the next version off, so that no policy finalizes it.
+    Abort(UpgradeFiles),
+}
+
+/// Where the settings are, and how to tell.
+#[derive(Args)]
+pub struct UpgradeFiles {
+    /// The settings file of any controller of the cluster (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' upgrade policy (S-expressions).
+    #[arg(long, value_name = "FILE")]
+    upgrade: Option<PathBuf>,
+    #[arg(long, value_enum, default_value_t = Format::Text)]
+    format: Format,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+/// Connections to the state service.
+const CONNECTIONS: usize = 1;
+
+struct Session {
+    settings: Settings,
+    policy: UpgradePolicy,
+    store: Store,
+    format: Format,
+}
+
+/// Runs the command and returns its exit code.
+pub fn run(command: &UpgradeCommand) -> ExitCode {
+    let (UpgradeCommand::Status(files)
+    | UpgradeCommand::Plan(files)
+    | UpgradeCommand::Finalize(files)
+    | UpgradeCommand::Abort(files)) = command;
+    let settings = match Settings::load(&files.config, None, files.upgrade.as_deref()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("stairstage: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let session = Session {
+        policy: settings.upgrade.clone().unwrap_or_default(),
+        store: Store::new(settings.endpoints.state, CONNECTIONS),
+        format: files.format,
+        settings,
+    };
+    match command {
+        UpgradeCommand::Status(_) => session.status(),
+        UpgradeCommand::Plan(_) => session.plan(),
+        UpgradeCommand::Finalize(_) => session.change(Request::Finalize(Asked::ByOperator)),
+        UpgradeCommand::Abort(_) => session.change(Request::Abort),
+    }
+}
+
+impl Session {
+    fn snapshot(&self) -> Option<Snapshot> {
+        let controllers = records::configured(&self.settings);
+        let read = records::read(&self.store, &controllers);
+        if read.is_err() {
+            eprintln!(
+                "stairstage: the state service at {} does not answer",
+                self.settings.endpoints.state
+            );
+        }
+        read.ok().map(|(snapshot, _)| snapshot)
+    }
+
+    fn plan_of(&self, snapshot: &Snapshot, asked: Asked) -> Plan {
+        let timing = records::timing(&self.settings, &self.policy, wall_ms());
+        Plan::of(snapshot, &self.policy, asked, &timing)
+    }
+
+    fn status(&self) -> ExitCode {
+        let Some(snapshot) = self.snapshot() else {
+            return ExitCode::FAILURE;
+        };
+        let plan = self.plan_of(&snapshot, Asked::ByPolicy);
+        self.tell(&Status::of(&snapshot, &plan, wall_ms()));
+        ExitCode::SUCCESS
+    }
+
+    fn plan(&self) -> ExitCode {
+        let Some(snapshot) = self.snapshot() else {
+            return ExitCode::FAILURE;
+        };
+        let plan = self.plan_of(&snapshot, Asked::ByOperator);
+        self.tell(&Status::of(&snapshot, &plan, wall_ms()));
+        match plan.ready() {
+            Some(next) => {
+                self.say(&format!("`finalize` would raise the version to {next}"));
+                ExitCode::SUCCESS
+            }
+            None => ExitCode::from(EXIT_REFUSED),
+        }
+    }
+
+    fn change(&self, request: Request) -> ExitCode {
+        let (store, settings) = (&self.store, &self.settings);
+        let outcome = records::carry_out(store, settings, &self.policy, request, wall_ms);
+        match outcome {
+            Outcome::Finalized(version) => self.done(&format!("version {version} is active")),
+            Outcome::CalledOff(version) => self.done(&format!(
+                "the upgrade is called off; version {version} stays active"
+            )),
+            Outcome::AlreadyFinalized(version) => self.refused(&[format!(
+                "version {version} is active, and no controller knows a later one"
+            )]),
+            Outcome::Refused(holds) => {
+                let holds: Vec<String> = holds.iter().map(Hold::to_string).collect();
+                self.refused(&holds)
+            }
+            Outcome::Unreached => {
+                eprintln!("stairstage: not decided: the state service did not answer, or the records changed meanwhile; try again");
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn done(&self, what: &str) -> ExitCode {
+        match self.format {
+            Format::Text => println!("{what}"),
+            Format::Json => println!("{}", serde_json::json!({ "done": what })),
+        }
+        ExitCode::SUCCESS
+    }
+
+    fn refused(&self, reasons: &[String]) -> ExitCode {
+        match self.format {
+            Format::Text => reasons.iter().for_each(|why| println!("refused: {why}")),
+            Format::Json => println!("{}", serde_json::json!({ "refused": reasons })),
+        }
+        ExitCode::from(EXIT_REFUSED)
+    }
+
+    fn tell(&self, status: &Status) {
+        match self.format {
+            Format::Text => print!("{status}"),
+            Format::Json => println!("{}", serde_json::to_string(status).expect("plain data")),
+        }
+    }
+
+    /// Something that the JSON form tells already.
+    fn say(&self, what: &str) {
+        if self.format == Format::Text {
+            println!("{what}");
+        }
+    }
+}
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -16,6 +16,7 @@
 use crate::protocol::worker::*;
 use crate::settings::{Settings, Team, LONGEST_REPORT_INTERVAL};
 use serde_json::Value;
+use stairstage_upgrade::fence::Clearance;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -101,6 +102,8 @@
 pub struct Core {
     pub(super) settings: Arc<Settings>,
     pub token: u64,
+    /// What may be written at the active cluster version.
+    pub clearance: Clearance,
     /// Tokens of this leadership start here: a report at or above it was sent after we took over.
     pub(super) first_token: u64,
     counter: u64,
@@ -228,6 +231,7 @@
             passed_at: 0.0,
             next_pass: 0.0,
             chores_at: 0.0,
+            clearance: Clearance::Unstaged,
             explained: 0.0,
             withheld: BTreeMap::new(),
             looks: Cell::new(0),
--- a/src/coordination/requests/acceptance.rs
+++ b/src/coordination/requests/acceptance.rs
@@ -1,13 +1,14 @@
 //! Accepting a job by writing its first record.
 
 use super::lookup::Lookup;
-use super::steps::{Progress, Step, Stop, StoreAnswer, StoreCall};
+use super::steps::{is_version_raised, Progress, Step, Stop, StoreAnswer, StoreCall};
 use super::TRIES;
 use crate::bookkeeping::records::{end_key, open_key};
 use crate::bookkeeping::store::Outcome;
 use crate::protocol::job::JobStatus;
 use crate::protocol::store::Transaction;
 use serde_json::Value;
+use stairstage_upgrade::fence::Clearance;
 
 /// Writes a record of a job while none is there.
 pub(super) struct Acceptance {
@@ -25,8 +26,13 @@
 }
 
 impl Acceptance {
-    pub(super) fn begin(job: &str, key: String, value: Value) -> (Acceptance, StoreCall) {
-        let transaction = Transaction::default()
+    pub(super) fn begin(
+        job: &str,
+        key: String,
+        value: Value,
+        clearance: &Clearance,
+    ) -> (Acceptance, StoreCall) {
+        let transaction = Transaction::at_version(clearance)
             .absent(open_key(job))
             .absent(end_key(job))
             .put(key, value);
@@ -50,6 +56,7 @@
         }
         match answer.outcome() {
             Outcome::Applied(version) => Ok(Step::Finished(Accepted::Now(version))),
+            Outcome::Conflict(failed) if is_version_raised(&failed) => Err(Stop::VersionRaised),
             Outcome::Conflict(_) => {
                 let (lookup, call) = Lookup::begin(&self.job);
                 self.lookup = Some(lookup);
--- a/src/coordination/requests/admission.rs
+++ b/src/coordination/requests/admission.rs
@@ -5,12 +5,17 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobSpec, Kind};
 use crate::settings::Settings;
+use stairstage_upgrade::Gate;
 
 /// The answer to a submission that is not taken, unless the job was accepted before.
 pub(super) fn refusal(record: &OpenRecord, context: &Context) -> Option<Answer> {
     if context.types.is_empty() {
         return Some(Answer::Later(Reason::NoMachineTypes));
     }
+    let waits = !record.spec.waits_on.is_empty();
+    if waits && !context.clearance.gates().is_open(Gate::Pipelines) {
+        return Some(Answer::Later(Reason::NotFinalized));
+    }
     if let Some(why) = cannot_run(&record.spec, &context.settings, &context.types) {
         return Some(Answer::CannotRun(why));
     }
--- a/src/coordination/requests/answers.rs
+++ b/src/coordination/requests/answers.rs
@@ -13,6 +13,10 @@
     NoStateService,
     /// The state service is asked for more than it does.
     StateServiceLimit,
+    /// The active cluster version has changed just now.
+    VersionRaised,
+    /// What is asked for is taken once the upgrade under way is finalized.
+    NotFinalized,
     /// The machine types are not known yet.
     NoMachineTypes,
     /// Its acceptance has met another that is not to be seen yet.
@@ -54,6 +58,8 @@
             Reason::Busy => "too much is asked at once",
             Reason::NoStateService => "the state service is not reached",
             Reason::StateServiceLimit => "more is asked than the state service does",
+            Reason::VersionRaised => "the cluster version has changed just now",
+            Reason::NotFinalized => "is taken once the upgrade under way is finalized",
             Reason::NoMachineTypes => "the machine types are not known yet",
             Reason::JustAccepted => "the job is just being accepted",
             Reason::TooManyPolls { .. } => "more is asked than can be looked up now",
--- a/src/coordination/requests/cancellation.rs
+++ b/src/coordination/requests/cancellation.rs
@@ -2,12 +2,13 @@
 //! cleared the job's places.
 
 use super::lookup::Lookup;
-use super::steps::{Progress, Step, Stop, StoreAnswer, StoreCall};
+use super::steps::{is_version_raised, Progress, Step, Stop, StoreAnswer, StoreCall};
 use super::{Answer, Context, TRIES};
 use crate::bookkeeping::records::{end_key, open_key, EndRecord, OpenRecord};
 use crate::bookkeeping::store::Outcome;
 use crate::protocol::job::{JobState, JobStatus};
 use crate::protocol::store::Transaction;
+use stairstage_upgrade::fence::Clearance;
 
 /// Records that a job's user has taken it back, unless it has ended.
 pub(super) struct Cancellation {
@@ -15,6 +16,7 @@
     now_ms: u64,
     /// The most bytes that a record may have.
     record_bytes: usize,
+    clearance: Clearance,
     tries: usize,
     stage: Stage,
 }
@@ -32,6 +34,7 @@
             job: job.to_string(),
             now_ms: context.now_ms,
             record_bytes: context.settings.cluster.state.record_bytes(),
+            clearance: context.clearance,
             tries: 1,
             stage: Stage::ReadingOpen,
         };
@@ -80,7 +83,7 @@
         let record = record.taken_back(self.record_bytes);
         let (open, end) = (open_key(&self.job), end_key(&self.job));
         let value = serde_json::to_value(&record).expect("plain data");
-        let transaction = Transaction::default()
+        let transaction = Transaction::at_version(&self.clearance)
             .absent(end.clone())
             .version(open.clone(), version)
             .put(end, EndRecord::cancelled(self.now_ms).to_value())
@@ -92,6 +95,7 @@
     fn committed(&mut self, outcome: Outcome) -> Progress<Answer> {
         match outcome {
             Outcome::Applied(_) => Ok(self.cancelled()),
+            Outcome::Conflict(failed) if is_version_raised(&failed) => Err(Stop::VersionRaised),
             // Ended meanwhile, or cancelled by a try whose answer was lost.
             Outcome::Conflict(_) | Outcome::Unknown => self.retry(),
             Outcome::Limited => Err(Stop::Limited),
--- a/src/coordination/requests/mod.rs
+++ b/src/coordination/requests/mod.rs
@@ -33,6 +33,7 @@
 use crate::settings::Settings;
 use cancellation::Cancellation;
 use polls::Poll;
+use stairstage_upgrade::fence::Clearance;
 use std::sync::Arc;
 use steps::{Progress, Step, Stop};
 use submission::Submission;
@@ -45,6 +46,8 @@
 pub struct Context {
     pub settings: Arc<Settings>,
     pub types: Arc<Vec<MachineType>>,
+    /// What may be written at the active cluster version.
+    pub clearance: Clearance,
     /// The other controllers, in the order in which they are asked.
     pub peers: Vec<String>,
     /// Whether another controller has handed it on. It is then answered without asking others.
@@ -250,6 +253,7 @@
             Ok(Step::Call(call)) => vec![Effect::Store(call)],
             Ok(Step::Finished(decision)) => self.decided(decision),
             Err(Stop::Unavailable) => self.ask_others(0),
+            Err(Stop::VersionRaised) => self.answer(Answer::Later(Reason::VersionRaised)),
             Err(Stop::Limited) => self.answer(Answer::Later(Reason::StateServiceLimit)),
         }
     }
--- a/src/coordination/requests/steps.rs
+++ b/src/coordination/requests/steps.rs
@@ -3,6 +3,7 @@
 use crate::bookkeeping::store::{Outcome, Unavailable};
 use crate::protocol::store::{Item, Page, Transaction};
 use serde::de::DeserializeOwned;
+use stairstage_upgrade::records::VERSION;
 
 /// What the state service is asked.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +63,13 @@
     Unavailable,
     /// The state service has been asked for more than it does, by whichever node.
     Limited,
+    /// The active cluster version is another one than this node knows.
+    VersionRaised,
+}
+
+/// Whether a transaction failed for the cluster version.
+pub(super) fn is_version_raised(failed: &[String]) -> bool {
+    failed.iter().any(|key| key == VERSION)
 }
 
 impl From<Unavailable> for Stop {
--- a/src/coordination/requests/submission.rs
+++ b/src/coordination/requests/submission.rs
@@ -8,10 +8,12 @@
 use super::{Answer, Context, Decision, Reason};
 use crate::bookkeeping::records::{end_key, open_key, EndRecord, OpenRecord};
 use crate::protocol::job::{JobSpec, JobState};
+use stairstage_upgrade::fence::Clearance;
 
 /// Accepts a job, unless it is known or can't be taken.
 pub(super) struct Submission {
     record: OpenRecord,
+    clearance: Clearance,
     stage: Stage,
 }
 
@@ -27,15 +29,25 @@
 impl Submission {
     pub(super) fn begin(spec: JobSpec, context: &Context) -> (Submission, Step<Decision>) {
         let record = OpenRecord::accepted(spec, context.now_ms);
+        let clearance = context.clearance;
         if let Some(refusal) = refusal(&record, context) {
             let (lookup, call) = Lookup::begin(&record.spec.id);
             let stage = Stage::Refusing(lookup, refusal);
-            return (Submission { record, stage }, Step::Call(call));
+            let submission = Submission {
+                record,
+                clearance,
+                stage,
+            };
+            return (submission, Step::Call(call));
         }
         let conditions = context.settings.cluster.state.conditions();
         let (prerequisites, step) = Prerequisites::begin(&record.spec, conditions);
         let stage = Stage::Checking(prerequisites);
-        let mut submission = Submission { record, stage };
+        let mut submission = Submission {
+            record,
+            clearance,
+            stage,
+        };
         let step = submission.checked(step);
         (submission, step)
     }
@@ -77,7 +89,7 @@
     fn accept(&mut self) -> StoreCall {
         let id = &self.record.spec.id;
         let value = serde_json::to_value(&self.record).expect("plain data");
-        let (acceptance, call) = Acceptance::begin(id, open_key(id), value);
+        let (acceptance, call) = Acceptance::begin(id, open_key(id), value, &self.clearance);
         self.stage = Stage::Accepting(acceptance);
         call
     }
@@ -85,7 +97,7 @@
     fn accept_cancelled(&mut self) -> StoreCall {
         let id = &self.record.spec.id;
         let value = EndRecord::cancelled(self.record.at_ms).to_value();
-        let (acceptance, call) = Acceptance::begin(id, end_key(id), value);
+        let (acceptance, call) = Acceptance::begin(id, end_key(id), value, &self.clearance);
         self.stage = Stage::AcceptingCancelled(acceptance);
         call
     }
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -10,6 +10,8 @@
 use crate::protocol::job::JobState;
 use crate::protocol::store::{Item, Transaction};
 use crate::settings::CONDITIONS_A_CHANGE;
+use stairstage_upgrade::records::VERSION;
+use stairstage_upgrade::{VersionRange, VersionRecord};
 use std::collections::BTreeSet;
 use tracing::{info, warn};
 
@@ -52,7 +54,7 @@
     }
 
     pub(super) fn begin(&self) -> Transaction {
-        Transaction::default().version(LEADER, self.token)
+        Transaction::at_version(&self.clearance).version(LEADER, self.token)
     }
 
     /// Ends a job: a write-once key, and its description closes. Its other records are of no use
@@ -154,8 +156,9 @@
         let Some(i) = urgent.or_else(late) else {
             return false;
         };
-        // Two conditions are about the leader and the record itself.
-        let most_jobs = CONDITIONS_A_CHANGE * self.most_changes - 2;
+        // Two conditions are about the leader and the record itself, and one about the cluster version.
+        let others = 2 + usize::from(self.clearance.stamp().is_some());
+        let most_jobs = CONDITIONS_A_CHANGE * self.most_changes - others;
         let (record, sent) = self.placement_value(i, most_jobs);
         let value = serde_json::to_value(&record).expect("plain data");
         let mut txn = self
@@ -458,6 +461,28 @@
         }
     }
 
+    /// The cluster version has risen, or an upgrade was called off: what is written from now on is
+    /// written for that, or no more.
+    fn version_reread(&mut self, item: Option<Item>) {
+        let Some(item) = item else {
+            return;
+        };
+        match serde_json::from_value::<VersionRecord>(item.value) {
+            Ok(record) => {
+                let range = VersionRange::OF_THIS_RELEASE;
+                self.clearance.read(range, &record, item.version);
+            }
+            Err(error) => {
+                warn!("{VERSION}: cannot be read: {error}");
+                self.deposed = true;
+            }
+        }
+        if let Some(why) = self.clearance.refusal() {
+            warn!("{why}: leads no more");
+            self.deposed = true;
+        }
+    }
+
     /// A write failed or went unanswered: take the versions from what the keys hold now. A copy of
     /// that write which is applied later fails by the version that the next write changes.
     pub(super) fn reread(&mut self, items: Vec<(String, Option<Item>)>, now: Time) {
@@ -469,6 +494,8 @@
                     warn!("leadership is lost: the record has version {version}");
                     self.deposed = true;
                 }
+            } else if key == VERSION {
+                self.version_reread(item);
             } else if let Some(placement_record) =
                 parse_place_key(&key).and_then(|i| self.placement_records.get_mut(i))
             {
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use stairstage_upgrade::fence::Clearance;
+use stairstage_upgrade::records::VERSION;
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Item {
@@ -55,6 +57,15 @@
 }
 
 impl Transaction {
+    /// One that holds only at the cluster version that its writer knows.
+    pub fn at_version(clearance: &Clearance) -> Self {
+        let none = Transaction::default();
+        match clearance.stamp() {
+            Some(stamp) => none.version(VERSION, stamp),
+            None => none,
+        }
+    }
+
     pub fn absent(self, key: impl Into<String>) -> Self {
         self.version(key, 0)
     }
--- a/src/service/controller/leadership.rs
+++ b/src/service/controller/leadership.rs
@@ -12,6 +12,7 @@
 use crate::service::record_reader::RecordReader;
 use crate::service::spawn;
 use crate::transport::{Reply, Respond};
+use stairstage_upgrade::fence::Clearance;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tracing::{debug, info, warn};
@@ -29,6 +30,9 @@
                 }
                 self.leader = leader;
             }
+            ElectionEvent::Elected { token } if self.links.clearance.get().must_withdraw() => {
+                self.request(ElectionRequest::Resign { term: token });
+            }
             // An election that was over before this node learned of it.
             ElectionEvent::Elected { token } if token < self.promised => {
                 self.request(ElectionRequest::Resign { term: token });
@@ -88,6 +92,7 @@
             } if t == token => {
                 let mut core = Core::new(self.settings.clone(), token, now);
                 core.valid_until = valid_until;
+                core.clearance = self.links.clearance.get();
                 core.set_types(self.types.clone());
                 core.recover(records, wall_ms(), now);
                 self.role = Role::Leading(Box::new(core));
@@ -100,6 +105,16 @@
         }
     }
 
+    /// The active version was read anew.
+    pub(super) fn cleared(&mut self, clearance: Clearance) {
+        if let Some(core) = self.core() {
+            core.clearance = clearance;
+        }
+        if clearance.must_withdraw() && !matches!(self.role, Role::Follower) {
+            self.resign();
+        }
+    }
+
     pub(super) fn request(&self, request: ElectionRequest) {
         let _ = self.links.election_requests.try_send(request);
     }
--- a/src/service/controller/mod.rs
+++ b/src/service/controller/mod.rs
@@ -8,6 +8,7 @@
 use super::gateway::Task;
 use super::messages::Message;
 use super::peer_queries::CancellationQueries;
+use super::upgrade::SharedClearance;
 use super::workers::Pool;
 use crate::bookkeeping::cancellations::{CancellationLog, Cursor};
 use crate::bookkeeping::index::EndIndex;
@@ -75,6 +76,7 @@
     /// The cancellations that this process has confirmed, and the way to those of the others.
     pub cancellations: CancellationLog,
     pub cancellation_queries: CancellationQueries,
+    pub clearance: SharedClearance,
 }
 
 pub struct Controller {
@@ -275,6 +277,7 @@
             Message::Locate(id, reply) => {
                 let _ = reply.try_send(self.locate(&id));
             }
+            Message::Clearance(clearance) => self.cleared(clearance),
             Message::Opened(opened) => self.opened(opened),
             Message::Ended(id, state) => self.ended(&id, state),
             Message::EndsRecorded(ends) => {
--- a/src/service/election.rs
+++ b/src/service/election.rs
@@ -6,7 +6,9 @@
     CurrentLeader, Election, ElectionEvent, ElectionRequest, Input, Operation,
 };
 use crate::coordination::Time;
+use crate::service::upgrade::SharedClearance;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use stairstage_upgrade::fence::Refusal;
 use std::time::{Duration, Instant};
 
 /// Requests that may wait. The controller has at most three for each term.
@@ -24,6 +26,7 @@
     pub epoch: Instant,
     pub notify: Box<dyn Fn(ElectionEvent) + Send>,
     pub requests: Receiver<ElectionRequest>,
+    pub clearance: SharedClearance,
 }
 
 impl ElectionDriver {
@@ -45,14 +48,19 @@
         self.epoch.elapsed().as_secs_f64()
     }
 
-    /// `None` when the controller is gone.
+    /// `None` when the controller is gone, or may lead no more.
     fn carry_out(&self, operation: Operation) -> Option<Input> {
         Some(match operation {
             Operation::Read { timeout } => Input::Read(self.read(timeout)),
             Operation::Watch { after, hold } => {
                 Input::Watched(self.store.watch(LEADER, after, hold))
             }
-            Operation::Grant { life } => Input::Granted(self.store.grant(life)),
+            // A campaign begins with a lease.
+            Operation::Grant { life } => match self.clearance.get().refusal() {
+                None => Input::Granted(self.store.grant(life)),
+                Some(Refusal::VersionUnread) => Input::Granted(Err(Unavailable)),
+                Some(Refusal::Withdrawn(_)) => return None,
+            },
             Operation::Commit {
                 transaction,
                 timeout: None,
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -5,6 +5,7 @@
 use super::end_notifier::EndNotifier;
 use super::messages::Message;
 use super::polls::{Polls, UserPoll};
+use super::upgrade::SharedClearance;
 use crate::bookkeeping::store::Store;
 use crate::coordination::requests::polls::Poll;
 use crate::coordination::requests::{
@@ -108,6 +109,7 @@
     pub tasks: Receiver<Task>,
     pub types: Arc<SharedTypes>,
     pub polls: Polls,
+    pub clearance: SharedClearance,
     pub ends: EndNotifier,
     /// Peers that lately gave no answer, and until when they are not asked.
     pub unreachable: RefCell<HashMap<String, Instant>>,
@@ -160,6 +162,9 @@
     }
 
     fn answer(&self, call: &Call, from_peer: bool, respond: Respond) {
+        if let Some(why) = self.clearance.get().refusal() {
+            return respond(Reply::later(&why.to_string()));
+        }
         let begun = Instant::now();
         let reply = match self.decide(call, from_peer) {
             Answered::Now(reply) => reply,
@@ -201,6 +206,7 @@
         Context {
             settings: self.settings.clone(),
             types: self.types.get(),
+            clearance: self.clearance.get(),
             peers: self.peers.names().cloned().collect(),
             from_peer,
             now_ms: wall_ms(),
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -13,6 +13,7 @@
 use crate::protocol::worker::Report;
 use crate::transport::Respond;
 use crossbeam::channel::Sender;
+use stairstage_upgrade::fence::Clearance;
 
 /// An event for the controller.
 pub enum Message {
@@ -23,6 +24,8 @@
         passed_on: bool,
         respond: Respond,
     },
+    /// What this controller may do at the active version.
+    Clearance(Clearance),
     /// What is known of a job here, and who leads.
     Locate(String, Sender<Located>),
     /// Jobs that were accepted or cancelled, as their records say, with the versions of these.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -15,6 +15,7 @@
 pub mod peer_queries;
 pub mod polls;
 pub mod record_reader;
+pub mod upgrade;
 pub mod workers;
 
 use crate::bookkeeping::cancellations::CancellationLog;
@@ -36,6 +37,7 @@
 use peer_queries::CancellationQueries;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use upgrade::SharedClearance;
 
 /// Users' requests that may wait.
 const STAGE: usize = 128;
@@ -85,6 +87,8 @@
     .context("cannot listen for peers")?;
 
     let store = Store::new(settings.endpoints.state, GATEWAYS);
+    let clearance = SharedClearance::new(settings.upgrade.is_some());
+    upgrade::start(&settings, &store, &clearance, &inbox)?;
     let (election_requests, requests) = election::requests();
     let report_s = settings.cluster.workers.report_s;
     let lease_s = (settings.policy.leader_lease * report_s)
@@ -99,6 +103,7 @@
             let _ = event_inbox.send(Message::Election(event));
         }),
         requests,
+        clearance: clearance.clone(),
     };
     spawn("election", move || election.run())?;
 
@@ -118,6 +123,7 @@
             tasks: tasks.clone(),
             types: types.clone(),
             polls: polls.clone(),
+            clearance: clearance.clone(),
             ends: ends.clone(),
             unreachable: Default::default(),
         };
@@ -136,6 +142,7 @@
         pool,
         cancellations,
         cancellation_queries,
+        clearance: clearance.clone(),
     };
     let controller = Controller::new(settings.clone(), epoch, links);
     let handler = move |call: Call, respond: crate::transport::Respond| match call {
@@ -143,7 +150,8 @@
         call => gateway::offer(&stage, Task::user(call, respond)),
     };
     let bounds = bounds(&settings);
-    let health = isolation::watch(store, peers, epoch)?;
+    let connected = isolation::watch(store, peers, epoch)?;
+    let health = Arc::new(move || connected() && clearance.get().refusal().is_none());
     front::serve(&runtime, settings.front, bounds, Arc::new(handler), health)
         .context("cannot listen for users")?;
     tracing::info!("{} serves on {}", settings.name, settings.front);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,8 +5,11 @@
 
 use policy::Policy;
 use serde::Deserialize;
+use stairstage_upgrade::policy::PolicyError;
+use stairstage_upgrade::UpgradePolicy;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Peer {
@@ -122,6 +125,9 @@
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Cluster {
+    /// How far the time of day of two machines may be apart.
+    #[serde(default)]
+    pub skew_ms: f64,
     #[serde(default)]
     pub teams: Vec<Team>,
     #[serde(default)]
@@ -153,6 +159,9 @@
     pub cluster: Cluster,
     #[serde(skip)]
     pub policy: Policy,
+    /// How upgrades are staged; nothing if they are not.
+    #[serde(skip)]
+    pub upgrade: Option<UpgradePolicy>,
 }
 
 /// A settings file that cannot be used: which file, and which field with which value.
@@ -181,13 +190,35 @@
     })
 }
 
+fn upgrade_policy(path: &Path) -> Result<UpgradePolicy, Error> {
+    let file = path.display().to_string();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_ms = since.map_or(0, |since| since.as_millis() as u64);
+    UpgradePolicy::parse(&read(path)?, now_ms).map_err(|error| match error {
+        PolicyError::Malformed { what } => Error::Malformed { file, what },
+        PolicyError::Invalid { field, value, why } => Error::Invalid {
+            file,
+            field,
+            value,
+            why,
+        },
+    })
+}
+
 impl Settings {
-    /// Reads and checks the platform's file, and the operators' file where there is one.
-    pub fn load(config: &Path, policy: Option<&Path>) -> Result<Settings, Error> {
+    /// Reads and checks the platform's file, and the operators' files where there are any.
+    pub fn load(
+        config: &Path,
+        policy: Option<&Path>,
+        upgrade: Option<&Path>,
+    ) -> Result<Settings, Error> {
         let mut settings = Settings::parse(&config.display().to_string(), &read(config)?)?;
         if let Some(path) = policy {
             settings.policy = Policy::parse(&path.display().to_string(), &read(path)?)?;
         }
+        if let Some(path) = upgrade {
+            settings.upgrade = Some(upgrade_policy(path)?);
+        }
         Ok(settings)
     }
 
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -4,8 +4,10 @@
 
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ffi::OsStr;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -75,6 +77,12 @@
         (200, json!({"tally": self.revision}))
     }
 
+    /// Writes a key, as somebody else would.
+    pub fn put(&mut self, key: &str, value: Value) {
+        self.revision += 1;
+        self.change(&json!({"write": key, "v": value}));
+    }
+
     pub fn answer(&mut self, method: &Method, url: &str, body: &Value) -> (u16, Value) {
         self.expire();
         let (path, query) = url.split_once('?').unwrap_or((url, ""));
@@ -381,6 +389,24 @@
 
     /// Starts one of the three controllers.
     pub fn start(&self, i: usize) -> Option<Killed> {
+        self.start_with(i, &[])
+    }
+
+    /// The same, with further arguments.
+    pub fn start_with(&self, i: usize, arguments: &[&OsStr]) -> Option<Killed> {
+        let child = Command::new(env!("CARGO_BIN_EXE_stairstage"))
+            .args(["serve", "--config"])
+            .arg(self.settings_file(i))
+            .args(arguments)
+            .env("LOG_LEVEL", "error")
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        Some(Killed(child))
+    }
+
+    /// Writes the settings of one of the controllers.
+    pub fn settings_file(&self, i: usize) -> PathBuf {
         let (front, cluster) = self.ports[i];
         let mut text = format!(
             "host_name = \"n{i}\"\nzone = \"z\"\nfront = \"127.0.0.1:{front}\"\n\
@@ -402,18 +428,16 @@
              [settings.limits]\nram_mb = 100.0\nmax_sockets = 500\n",
             self.cloud_address, self.state_addresses[i]
         );
-        let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let path = folder.join(format!("{}-{i}.toml", self.name));
+        self.write_file(&format!("{i}.toml"), &text)
+    }
+
+    /// Writes a file of this grid's own.
+    pub fn write_file(&self, name: &str, text: &str) -> PathBuf {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let path = folder.join(format!("{}-{name}", self.name));
         let mut file = std::fs::File::create(&path).unwrap();
         file.write_all(text.as_bytes()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_stairstage"))
-            .args(["serve", "--config"])
-            .arg(&path)
-            .env("LOG_LEVEL", "error")
-            .stdin(Stdio::null())
-            .spawn()
-            .unwrap();
-        Some(Killed(child))
+        path
     }
 
     pub fn front(&self, i: usize) -> String {
--- /dev/null
+++ b/tests/fences.rs
@@ -0,0 +1,217 @@
+//! What is written names the cluster version that its writer knows, and fails after a rise.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use stairstage::bookkeeping::records::{end_key, open_key, LEADER};
+use stairstage::bookkeeping::store::Outcome;
+use stairstage::coordination::core::{Core, Effect as CoreEffect, Written};
+use stairstage::coordination::requests::{Context, Effect, Event, Request, StoreAnswer, StoreCall};
+use stairstage::protocol::store::{Item, Transaction};
+use stairstage::settings::{Settings, CONDITIONS_A_CHANGE};
+use stairstage_upgrade::fence::Clearance;
+use stairstage_upgrade::records::VERSION;
+use stairstage_upgrade::{ClusterVersion, Fence, VersionRange, VersionRecord};
+use std::sync::Arc;
+
+const STAMP: u64 = 5;
+const LATER_STAMP: u64 = 9;
+
+fn record(active: u32) -> VersionRecord {
+    VersionRecord {
+        active: ClusterVersion(active),
+        since_ms: 0,
+        held: false,
+    }
+}
+
+fn clearance(active: u32) -> Clearance {
+    let range = VersionRange::OF_THIS_RELEASE;
+    Clearance::Read(Fence::new(range, &record(active), STAMP))
+}
+
+fn item(active: u32) -> Item {
+    Item {
+        key: VERSION.into(),
+        value: serde_json::to_value(record(active)).unwrap(),
+        version: LATER_STAMP,
+    }
+}
+
+fn stamp_in(transaction: &Transaction) -> Option<u64> {
+    let condition = transaction.conditions.iter().find(|c| c.key == VERSION);
+    condition.map(|c| c.version)
+}
+
+/// A leader with a job that waits to be launched, and the first write for it.
+fn leader_with_a_write() -> (Core, u64, Transaction) {
+    let mut core = core();
+    core.clearance = clearance(1);
+    report(&mut core, 1, Vec::new(), 1.0);
+    submit(&mut core, "req-1", "sweep", "normal", None, 1);
+    let (id, transaction) = next_write(&mut core, 1.0).expect("places are recorded");
+    (core, id, transaction)
+}
+
+fn next_write(core: &mut Core, now: f64) -> Option<(u64, Transaction)> {
+    core.tick(now);
+    core.step(now);
+    core.take_effects()
+        .into_iter()
+        .find_map(|effect| match effect {
+            CoreEffect::Write { id, transaction } => Some((id, transaction)),
+            _ => None,
+        })
+}
+
+#[test]
+fn a_leader_names_the_version_that_it_knows_in_what_it_writes() {
+    let (_, _, transaction) = leader_with_a_write();
+    assert_eq!(stamp_in(&transaction), Some(STAMP));
+    assert!(transaction.conditions.iter().any(|c| c.key == LEADER));
+    let mut unstaged = core();
+    report(&mut unstaged, 1, Vec::new(), 1.0);
+    submit(&mut unstaged, "req-1", "sweep", "normal", None, 1);
+    let (_, transaction) = next_write(&mut unstaged, 1.0).unwrap();
+    assert_eq!(stamp_in(&transaction), None);
+}
+
+#[test]
+fn a_leader_goes_on_at_a_version_that_its_release_works_at() {
+    let (mut core, id, _) = leader_with_a_write();
+    let reread = vec![(VERSION.to_string(), Some(item(2)))];
+    core.written(id, Written::Reread(reread), 1.5);
+    assert!(!core.deposed);
+    let (_, again) = next_write(&mut core, 3.0).expect("it is written again");
+    assert_eq!(stamp_in(&again), Some(LATER_STAMP));
+}
+
+#[test]
+fn a_leader_resigns_at_a_version_beyond_its_release() {
+    let (mut core, id, _) = leader_with_a_write();
+    let reread = vec![(VERSION.to_string(), Some(item(3)))];
+    core.written(id, Written::Reread(reread), 1.5);
+    assert!(core.deposed);
+}
+
+#[test]
+fn a_leader_resigns_at_a_version_that_it_cannot_read() {
+    let (mut core, id, _) = leader_with_a_write();
+    let mut unreadable = item(2);
+    unreadable.value = json!({"active": {"of": "another kind"}});
+    let reread = vec![(VERSION.to_string(), Some(unreadable))];
+    core.written(id, Written::Reread(reread), 1.5);
+    assert!(core.deposed);
+}
+
+#[test]
+fn a_record_of_many_jobs_keeps_to_the_conditions_of_a_transaction() {
+    let settings = Settings::parse("test", SETTINGS).unwrap();
+    let most = CONDITIONS_A_CHANGE * settings.cluster.state.changes();
+    let mut core = core();
+    core.clearance = clearance(1);
+    for machine in 0..most {
+        let name = format!("m-{machine}");
+        report_of(&mut core, &name, 1, None, Vec::new(), 1.0);
+    }
+    for job in 0..2 * most {
+        submit(
+            &mut core,
+            &format!("req-{job}"),
+            "sweep",
+            "normal",
+            None,
+            job as u64,
+        );
+    }
+    let (_, transaction) = next_write(&mut core, 1.0).expect("places are recorded");
+    assert_eq!(transaction.conditions.len(), most);
+}
+
+fn context(clearance: Clearance) -> Context {
+    Context {
+        settings: Arc::new(Settings::parse("test", SETTINGS).unwrap()),
+        types: Arc::new(vec![machine_type()]),
+        clearance,
+        peers: vec!["b".into()],
+        from_peer: false,
+        now_ms: 0,
+    }
+}
+
+fn committed(effects: &[Effect]) -> &Transaction {
+    match effects {
+        [Effect::Store(StoreCall::Commit(transaction))] => transaction,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn version_raised() -> Event {
+    let failed = vec![VERSION.to_string()];
+    Event::Store(StoreAnswer::Committed(Outcome::Conflict(failed)))
+}
+
+fn is_turned_away(effects: &[Effect]) -> bool {
+    matches!(effects, [Effect::Answer(answer)]
+        if answer.status() == 503 && answer.retry_after().is_some())
+}
+
+#[test]
+fn a_submission_at_an_old_version_is_turned_away_and_never_called_known() {
+    let body = submission("req-1", "sweep", "normal", 4).to_string();
+    let (mut request, effects) = Request::submission(body.as_bytes(), context(clearance(1)));
+    assert_eq!(stamp_in(committed(&effects)), Some(STAMP));
+    let answer = request.on(version_raised());
+    assert!(is_turned_away(&answer), "{answer:?}");
+}
+
+#[test]
+fn a_cancellation_at_an_old_version_is_turned_away() {
+    let (mut request, _) = Request::cancellation("req-1".into(), context(clearance(1)));
+    let mut store = Store::default();
+    let body = submission("req-1", "sweep", "normal", 4);
+    let open = json!({"spec": serde_json::to_value(parsed(&body)).unwrap(), "at_ms": 0});
+    store.values.insert(open_key("req-1"), (open, 3));
+    let read = StoreAnswer::Read(Ok(store.item(&open_key("req-1"))));
+    let effects = request.on(Event::Store(read));
+    assert_eq!(stamp_in(committed(&effects)), Some(STAMP));
+    let answer = request.on(version_raised());
+    assert!(is_turned_away(&answer), "{answer:?}");
+}
+
+fn waiting_submission() -> String {
+    let mut body = submission("req-2", "sweep", "normal", 4);
+    body["waits_on"] = json!(["req-1"]);
+    body.to_string()
+}
+
+#[test]
+fn a_job_that_waits_is_taken_from_the_version_on_that_all_controllers_know() {
+    let body = waiting_submission();
+    let (_, closed) = Request::submission(body.as_bytes(), context(clearance(1)));
+    assert!(
+        matches!(closed[..], [Effect::Store(StoreCall::Read(_))]),
+        "{closed:?}"
+    );
+    for open in [clearance(2), Clearance::Unstaged] {
+        let (_, effects) = Request::submission(body.as_bytes(), context(open));
+        let asks_for_needed = committed(&effects).conditions.iter();
+        let keys: Vec<&str> = asks_for_needed.map(|c| c.key.as_str()).collect();
+        assert!(keys.contains(&open_key("req-1").as_str()), "{keys:?}");
+    }
+}
+
+#[test]
+fn a_job_that_waits_and_was_accepted_before_is_known_at_any_version() {
+    let body = waiting_submission();
+    let (mut request, _) = Request::submission(body.as_bytes(), context(clearance(1)));
+    request.on(Event::Store(StoreAnswer::Read(Ok(None))));
+    let mut store = Store::default();
+    let end = json!({"state": "done"});
+    store.values.insert(end_key("req-2"), (end, 3));
+    let read = StoreAnswer::Read(Ok(store.item(&end_key("req-2"))));
+    let effects = request.on(Event::Store(read));
+    let known = matches!(effects.last(), Some(Effect::Answer(answer)) if answer.status() == 200);
+    assert!(known, "{effects:?}");
+}
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -9,6 +9,7 @@
     Context, Effect, Event, Located, Request, StoreAnswer, StoreCall,
 };
 use stairstage::settings::{Peer, Settings};
+use stairstage_upgrade::fence::Clearance;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -30,6 +31,7 @@
     Context {
         settings: Arc::new(settings),
         types: Arc::new(vec![machine_type()]),
+        clearance: Clearance::Unstaged,
         peers: vec!["b".into(), "c".into()],
         from_peer: false,
         now_ms: 0,
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -29,6 +29,7 @@
 use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::Change;
 use stairstage::settings::Settings;
+use stairstage_upgrade::fence::Clearance;
 use std::sync::Arc;
 
 /// What a combination has to come about for, over all schedules.
@@ -144,6 +145,7 @@
     Context {
         settings: Arc::new(Settings::parse("test", common::SETTINGS).unwrap()),
         types: Arc::new(vec![common::machine_type()]),
+        clearance: Clearance::Unstaged,
         peers: vec!["n1".into(), "n2".into()],
         from_peer,
         now_ms: 0,
--- a/tests/requests/world.rs
+++ b/tests/requests/world.rs
@@ -14,6 +14,7 @@
 use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::{Page, Transaction};
 use stairstage::settings::Settings;
+use stairstage_upgrade::fence::Clearance;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -92,6 +93,7 @@
         Context {
             settings: self.settings.clone(),
             types: Arc::new(vec![machine_type]),
+            clearance: Clearance::Unstaged,
             peers: (0..NODES).filter(|i| *i != node).map(name_of).collect(),
             from_peer,
             now_ms: 0,
