--- a/crates/upgrade/tests/histories.rs
+++ b/crates/upgrade/tests/histories.rs
@@ -87,7 +87,10 @@
     members: BTreeMap<String, (MemberRecord, u64)>,
     processes: Vec<Option<Process>>,
     operations: Vec<Option<(Operation, Step)>>,
-    late: Vec<Change>,
+    /// The stamp of the version's record that each operator has read last.
+    read: [u64; OPERATORS],
+    /// With the stamp that each was decided by.
+    late: Vec<(Change, u64)>,
     seen: Seen,
 }
 
@@ -111,6 +114,7 @@
             members: BTreeMap::new(),
             processes: (0..CONTROLLERS).map(|_| None).collect(),
             operations: (0..OPERATORS).map(|_| None).collect(),
+            read: [0; OPERATORS],
             late: Vec::new(),
             seen: Seen::default(),
         }
@@ -150,11 +154,13 @@
     }
 
     /// Carries a change of the version out, if its conditions hold; checks the rules of rises.
-    fn apply(&mut self, change: &Change) -> bool {
+    fn apply(&mut self, change: &Change, decided_by: u64) -> bool {
         let holds = |(key, stamp): &(String, u64)| self.stamp_of(key) == *stamp;
         if !change.conditions.iter().all(holds) {
             return false;
         }
+        let current = self.version_stamp();
+        assert_eq!(decided_by, current, "decided by an earlier record");
         let (before, after) = (self.active(), change.record.active);
         assert!(after >= before, "the version never goes down");
         if after > before {
@@ -241,10 +247,13 @@
         let next = match step {
             Step::Read => {
                 let snapshot = (fate == Fate::Answered).then(|| self.snapshot());
+                if let Some(snapshot) = &snapshot {
+                    self.read[operator] = snapshot.stamp;
+                }
                 operation.read(snapshot.as_ref(), 0)
             }
             Step::Commit(change) => {
-                let committed = self.commit(change, fate);
+                let committed = self.commit(operator, change, fate);
                 operation.committed(committed)
             }
             Step::Finished(outcome) => return self.finished(outcome),
@@ -252,16 +261,17 @@
         self.operations[operator] = Some((operation, next));
     }
 
-    fn commit(&mut self, change: Change, fate: Fate) -> Committed {
+    fn commit(&mut self, operator: usize, change: Change, fate: Fate) -> Committed {
+        let decided_by = self.read[operator];
         match fate {
-            Fate::Answered if self.apply(&change) => Committed::Applied,
+            Fate::Answered if self.apply(&change, decided_by) => Committed::Applied,
             Fate::Answered => Committed::Conflict,
             Fate::AnswerLost => {
-                self.apply(&change);
+                self.apply(&change, decided_by);
                 Committed::Unknown
             }
             Fate::Late => {
-                self.late.push(change);
+                self.late.push((change, decided_by));
                 Committed::Unknown
             }
             Fate::Refused => Committed::Refused,
@@ -305,8 +315,8 @@
             Event::Asks { operator, aborts } => self.asks(operator, aborts),
             Event::Steps { operator, fate } => self.steps(operator, fate),
             Event::Late => {
-                if let Some(change) = self.late.pop() {
-                    self.seen.late += usize::from(self.apply(&change));
+                if let Some((change, decided_by)) = self.late.pop() {
+                    self.seen.late += usize::from(self.apply(&change, decided_by));
                 }
             }
         }
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -7,7 +7,7 @@
 use std::ffi::OsStr;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -394,7 +394,13 @@
 
     /// The same, with further arguments.
     pub fn start_with(&self, i: usize, arguments: &[&OsStr]) -> Option<Killed> {
-        let child = Command::new(env!("CARGO_BIN_EXE_stairstage"))
+        let program = Path::new(env!("CARGO_BIN_EXE_stairstage"));
+        self.start_program(program, i, arguments)
+    }
+
+    /// The same with another program.
+    pub fn start_program(&self, program: &Path, i: usize, arguments: &[&OsStr]) -> Option<Killed> {
+        let child = Command::new(program)
             .args(["serve", "--config"])
             .arg(self.settings_file(i))
             .args(arguments)
--- /dev/null
+++ b/tests/lookups.rs
@@ -0,0 +1,188 @@
+//! Single decisions of a node's batcher of polls, and of requests that meet the state service's limit.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use stairstage::bookkeeping::records::{end_key, open_key, OpenRecord};
+use stairstage::bookkeeping::store::Outcome;
+use stairstage::coordination::requests::polls::{Effect, Limits, Poll, PollBatcher};
+use stairstage::coordination::requests::{self, Context, Event, Request, StoreAnswer, StoreCall};
+use stairstage::protocol::job::JobState;
+use stairstage::settings::Settings;
+use stairstage_upgrade::fence::Clearance;
+use std::sync::Arc;
+
+fn settings() -> Settings {
+    Settings::parse("test", SETTINGS).unwrap()
+}
+
+fn batcher() -> PollBatcher {
+    PollBatcher::new(Limits::of(&settings()))
+}
+
+fn poll(job: &str) -> Poll {
+    Poll {
+        job: job.into(),
+        shown: None,
+    }
+}
+
+/// Lets a batcher work against these records until nothing waits; the answers, as statuses with the
+/// numbers of their polls.
+fn answers(batcher: &mut PollBatcher, store: &Store, first: Vec<Effect>) -> Vec<(u64, u16)> {
+    let mut now = 0.0;
+    let mut effects = first;
+    let mut told = Vec::new();
+    loop {
+        for effect in std::mem::take(&mut effects) {
+            match effect {
+                Effect::Store(call) => effects.extend(batcher.on(answer_of(store, call), now)),
+                Effect::Answer(number, answer) => told.push((number, answer.status())),
+                Effect::Ended(..) => {}
+                Effect::HandOn(number) => panic!("{number} is handed on"),
+            }
+        }
+        if !effects.is_empty() {
+            continue;
+        }
+        let Some(pause_s) = batcher.pause_s().filter(|_| now < 2.0) else {
+            return told;
+        };
+        now += pause_s;
+        effects.extend(batcher.next(now));
+    }
+}
+
+fn answer_of(store: &Store, call: StoreCall) -> StoreAnswer {
+    match call {
+        StoreCall::Read(key) => StoreAnswer::Read(Ok(store.item(&key))),
+        StoreCall::Commit(transaction) => {
+            let conflicts = store.conflicts(&transaction);
+            StoreAnswer::Committed(match conflicts.is_empty() {
+                true => Outcome::Applied(store.revision),
+                false => Outcome::Conflict(conflicts),
+            })
+        }
+        list => panic!("one record is not read in a page: {list:?}"),
+    }
+}
+
+/// Records of an open job that waits for another, and of that other's end, if it has one.
+fn pipeline(needed_end: Option<&str>) -> Store {
+    let mut store = Store::default();
+    let mut open = |id: &str, waits_on: &[&str]| {
+        let mut body = submission(id, "sweep", "normal", 4);
+        body["waits_on"] = json!(waits_on);
+        let record = OpenRecord::accepted(parsed(&body), 0);
+        let value = serde_json::to_value(record).unwrap();
+        store.values.insert(open_key(id), (value, 1));
+    };
+    open("req-2", &["req-1"]);
+    match needed_end {
+        None => open("req-1", &[]),
+        Some(state) => {
+            let end = json!({ "state": state });
+            store.values.insert(end_key("req-1"), (end, 2));
+        }
+    }
+    store
+}
+
+fn told_of_pipeline(needed_end: Option<&str>) -> Vec<(u64, u16)> {
+    let mut batcher = batcher();
+    let first = batcher.ask(1, poll("req-2"), 0.0);
+    answers(&mut batcher, &pipeline(needed_end), first)
+}
+
+#[test]
+fn a_job_is_called_pending_only_while_what_it_waits_for_is_not_cancelled() {
+    assert_eq!(told_of_pipeline(None), [(1, 200)]);
+    assert_eq!(told_of_pipeline(Some("done")), [(1, 200)]);
+    assert_eq!(told_of_pipeline(Some("cancelled")), [(1, 503)]);
+}
+
+#[test]
+fn a_cancellation_that_is_known_already_counts_for_what_waits_for_it() {
+    let mut batcher = batcher();
+    batcher.accepted("req-2", &["req-1".to_string()]);
+    batcher.ended("req-1", JobState::Cancelled);
+    let first = batcher.ask(1, poll("req-2"), 0.0);
+    let mut store = pipeline(Some("cancelled"));
+    assert_eq!(answers(&mut batcher, &store, first), [(1, 503)]);
+    // Once its own end is on record, that is told.
+    store.values.remove(&open_key("req-2"));
+    let end = json!({"state": "cancelled"});
+    store.values.insert(end_key("req-2"), (end, 3));
+    let first = batcher.ask(2, poll("req-2"), 10.0);
+    assert_eq!(answers(&mut batcher, &store, first), [(2, 200)]);
+}
+
+#[test]
+fn polls_beyond_what_can_be_compared_in_time_are_turned_away_at_once_and_come_back_apart() {
+    let mut batcher = batcher();
+    for number in 0..4000 {
+        batcher.ask(number, poll(&format!("req-{number}")), 0.0);
+    }
+    let mut retries: Vec<u32> = Vec::new();
+    for effect in batcher.next(0.0) {
+        if let Effect::Answer(_, answer) = effect {
+            assert_eq!(answer.status(), 503);
+            retries.push(answer.retry_after().expect("when to come back"));
+        }
+    }
+    assert!(retries.len() > 3000, "{}", retries.len());
+    for seconds in 2..=5 {
+        let back = retries.iter().filter(|after| **after == seconds).count();
+        assert!(back > 50, "{back} come back after {seconds} s");
+    }
+    assert!(retries.iter().all(|after| *after <= 5));
+}
+
+fn is_handed_on(effects: &[Effect], number: u64) -> bool {
+    matches!(effects, [Effect::HandOn(n)] if *n == number)
+}
+
+#[test]
+fn while_the_state_service_refuses_polls_are_handed_on_at_once_and_asked_again_after_a_moment() {
+    let mut batcher = batcher();
+    assert!(batcher.ask(1, poll("req-1"), 0.0).is_empty());
+    assert!(matches!(batcher.next(0.0)[..], [Effect::Store(_)]));
+    let refused = StoreAnswer::Committed(Outcome::Refused);
+    assert!(is_handed_on(&batcher.on(refused, 0.01), 1));
+    assert!(is_handed_on(&batcher.ask(2, poll("req-2"), 0.5), 2));
+    assert!(batcher.ask(3, poll("req-3"), 1.5).is_empty());
+    assert!(matches!(batcher.next(1.5)[..], [Effect::Store(_)]));
+}
+
+#[test]
+fn a_poll_that_is_one_too_many_is_compared_again_and_not_handed_on() {
+    let mut batcher = batcher();
+    batcher.ask(1, poll("req-1"), 0.0);
+    batcher.next(0.0);
+    let limited = StoreAnswer::Committed(Outcome::Limited);
+    assert!(batcher.on(limited, 0.01).is_empty());
+    assert!(matches!(batcher.next(0.2)[..], [Effect::Store(_)]));
+}
+
+fn context() -> Context {
+    Context {
+        settings: Arc::new(settings()),
+        types: Arc::new(vec![machine_type()]),
+        clearance: Clearance::Unstaged,
+        peers: vec!["b".into(), "c".into()],
+        from_peer: false,
+        now_ms: 0,
+    }
+}
+
+#[test]
+fn what_is_beyond_the_limit_of_the_state_service_is_not_asked_of_other_nodes() {
+    let body = submission("req-1", "sweep", "normal", 4).to_string();
+    let (mut request, _) = Request::submission(body.as_bytes(), context());
+    let limited = Event::Store(StoreAnswer::Committed(Outcome::Limited));
+    let told = request.on(limited);
+    let turned_away = matches!(&told[..], [requests::Effect::Answer(answer)]
+        if answer.status() == 503 && answer.retry_after().is_some());
+    assert!(turned_away, "{told:?}");
+}
