--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -5,7 +5,6 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsStr;
-use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -309,6 +308,10 @@
     }
 }
 
+fn settings_name(i: usize) -> String {
+    format!("{i}.toml")
+}
+
 /// What a grid's controllers speak to, and where they listen.
 pub struct Grid {
     pub state: Arc<Mutex<State>>,
@@ -372,7 +375,7 @@
             (status, worker.report(address))
         });
         *endpoint.lock().unwrap() = Some(worker_address);
-        Grid {
+        let grid = Grid {
             state,
             state_down,
             state_refuses,
@@ -384,7 +387,9 @@
             cloud_address,
             ports: std::array::from_fn(|_| (controller_port(), controller_port())),
             name,
-        }
+        };
+        (0..3).for_each(|i| grid.write_settings(i));
+        grid
     }
 
     /// Starts one of the three controllers.
@@ -411,8 +416,13 @@
         Some(Killed(child))
     }
 
-    /// Writes the settings of one of the controllers.
+    /// The settings of one of the controllers.
     pub fn settings_file(&self, i: usize) -> PathBuf {
+        self.path(&settings_name(i))
+    }
+
+    /// Once only: processes read the file whenever they start.
+    fn write_settings(&self, i: usize) {
         let (front, cluster) = self.ports[i];
         let mut text = format!(
             "host_name = \"n{i}\"\nzone = \"z\"\nfront = \"127.0.0.1:{front}\"\n\
@@ -434,18 +444,21 @@
              [settings.limits]\nram_mb = 100.0\nmax_sockets = 500\n",
             self.cloud_address, self.state_addresses[i]
         );
-        self.write_file(&format!("{i}.toml"), &text)
+        self.write_file(&settings_name(i), &text);
     }
 
     /// Writes a file of this grid's own.
     pub fn write_file(&self, name: &str, text: &str) -> PathBuf {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let path = folder.join(format!("{}-{name}", self.name));
-        let mut file = std::fs::File::create(&path).unwrap();
-        file.write_all(text.as_bytes()).unwrap();
+        let path = self.path(name);
+        std::fs::write(&path, text).unwrap();
         path
     }
 
+    fn path(&self, name: &str) -> PathBuf {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        folder.join(format!("{}-{name}", self.name))
+    }
+
     pub fn front(&self, i: usize) -> String {
         format!("127.0.0.1:{}", self.ports[i].0)
     }
