Polls and upgrades read again: one index, one message for the ends of a page, twins joined

Need: reading the whole change once more. A page of records sent the controller one message for each end in it, up to 400, into the inbox that workers' reports share; other things stood twice.

Change: the ends of a page go to the controller in one message, as opened jobs do. KnownJobs uses EndIndex's code (bookkeeping/index.rs: RecentJobs). Cluster records are read by Store::list, without a limit of 1,000; single records by StoreAnswer::value. One taking of polls from a list, one turning away, one loading of settings for all commands, one constant for 429; unused accessors and a wrong doc comment go. Tests: the simulated state service of tests/polls uses the store of tests/common, so do three contexts and two pages. Assertions are as they were; the one on an end that is told names the job as well. New: ends in one effect.

Ruled out: telling only the ends that a user asked for.

--- a/crates/upgrade/src/plan.rs
+++ b/crates/upgrade/src/plan.rs
@@ -41,7 +41,7 @@
         release: String,
         versions: VersionRange,
     },
-    /// The versions of controllers have no next one in common with the active one.
+    /// An operator has called the upgrade to the next version off.
     CalledOff,
     /// The policy leaves it to an operator.
     ByHand,
--- a/src/bookkeeping/index.rs
+++ b/src/bookkeeping/index.rs
@@ -1,39 +1,43 @@
-//! The ends of jobs that this node knows, bounded in number: the state service has them all.
+//! What a node remembers of jobs, bounded in number: the state service has it all.
 
 use crate::protocol::job::JobState;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-/// Remembers the most recent ends. An end never changes, so any node may answer from here.
-pub struct EndIndex {
+/// Remembers something of the most recent jobs that never changes, so that any node may answer from
+/// here: what is noted first stays.
+pub struct RecentJobs<T> {
     most: usize,
-    states: HashMap<Arc<str>, JobState>,
+    known: HashMap<Arc<str>, T>,
     order: VecDeque<Arc<str>>,
 }
 
-impl EndIndex {
-    pub fn new(most: usize) -> EndIndex {
-        EndIndex {
+/// The most recent ends.
+pub type EndIndex = RecentJobs<JobState>;
+
+impl<T> RecentJobs<T> {
+    pub fn new(most: usize) -> RecentJobs<T> {
+        RecentJobs {
             most: most.max(1),
-            states: HashMap::new(),
+            known: HashMap::new(),
             order: VecDeque::new(),
         }
     }
 
-    pub fn get(&self, id: &str) -> Option<JobState> {
-        self.states.get(id).copied()
+    pub fn get(&self, id: &str) -> Option<&T> {
+        self.known.get(id)
     }
 
-    pub fn insert(&mut self, id: &str, state: JobState) {
-        if self.states.contains_key(id) {
+    pub fn insert(&mut self, id: &str, value: T) {
+        if self.known.contains_key(id) {
             return;
         }
         let id: Arc<str> = id.into();
-        self.states.insert(id.clone(), state);
+        self.known.insert(id.clone(), value);
         self.order.push_back(id);
         if self.order.len() > self.most {
             if let Some(oldest) = self.order.pop_front() {
-                self.states.remove(&oldest);
+                self.known.remove(&oldest);
             }
         }
     }
--- a/src/bookkeeping/request_counts.rs
+++ b/src/bookkeeping/request_counts.rs
@@ -1,5 +1,6 @@
 //! How many requests this process has sent to the state service, by what they are for.
 
+use crate::protocol::TOO_MANY_REQUESTS;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -27,9 +28,6 @@
     (RequestKind::Lease, "of leases"),
 ];
 
-/// The HTTP status of a request that was one too many.
-const TOO_MANY_REQUESTS: u16 = 429;
-
 /// Counts that several threads add to.
 #[derive(Debug, Default)]
 pub struct RequestCounts {
@@ -63,17 +61,6 @@
     limited: u64,
 }
 
-impl RecentRequests {
-    /// Those that were refused as too many.
-    pub fn limited(&self) -> u64 {
-        self.limited
-    }
-
-    pub fn sent(&self, kind: RequestKind) -> u64 {
-        self.sent[kind as usize]
-    }
-}
-
 impl fmt::Display for RecentRequests {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
         let all: u64 = self.sent.iter().sum();
@@ -83,7 +70,7 @@
             self.limited
         )?;
         for (kind, name) in KINDS {
-            write!(out, " {} {name}", self.sent(kind))?;
+            write!(out, " {} {name}", self.sent[kind as usize])?;
         }
         Ok(())
     }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -2,6 +2,7 @@
 
 use super::request_counts::{RecentRequests, RequestCounts, RequestKind};
 use crate::protocol::store::*;
+use crate::protocol::TOO_MANY_REQUESTS;
 use crate::transport::client::{Answer, Client};
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -183,7 +184,7 @@
                 );
                 Outcome::TooLarge
             }
-            Answer::Response(429, _) => {
+            Answer::Response(TOO_MANY_REQUESTS, _) => {
                 self.limited.store(true, Ordering::Relaxed);
                 Outcome::Limited
             }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::{service, settings::Settings};
 use clap::{Args, Parser, Subcommand};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::layer::SubscriberExt;
@@ -50,18 +50,30 @@
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
     match &cli.command {
-        Command::Check(files) => with_settings(files, |settings| {
+        Command::Check(files) => files.load_and(|settings| {
             println!("settings of {} are valid", settings.name);
             ExitCode::SUCCESS
         }),
-        Command::Serve(files) => with_settings(files, serve),
+        Command::Serve(files) => files.load_and(serve),
         Command::Upgrade(command) => upgrade::run(command),
     }
 }
 
-fn with_settings(files: &Files, run: impl FnOnce(Settings) -> ExitCode) -> ExitCode {
-    let (policy, upgrade) = (files.policy.as_deref(), files.upgrade.as_deref());
-    match Settings::load(&files.config, policy, upgrade) {
+impl Files {
+    fn load_and(&self, run: impl FnOnce(Settings) -> ExitCode) -> ExitCode {
+        let (policy, upgrade) = (self.policy.as_deref(), self.upgrade.as_deref());
+        with_settings(&self.config, policy, upgrade, run)
+    }
+}
+
+/// Runs a command with the settings, unless these cannot be used.
+fn with_settings(
+    config: &Path,
+    policy: Option<&Path>,
+    upgrade: Option<&Path>,
+    run: impl FnOnce(Settings) -> ExitCode,
+) -> ExitCode {
+    match Settings::load(config, policy, upgrade) {
         Ok(settings) => run(settings),
         Err(error) => {
             eprintln!("stairstage: {error}");
--- a/src/cli/upgrade.rs
+++ b/src/cli/upgrade.rs
@@ -1,6 +1,6 @@
 //! `stairstage upgrade`: what operators see of an upgrade, and how they finalize or abort it.
 
-use super::{EXIT_REFUSED, EXIT_SETTINGS};
+use super::{with_settings, EXIT_REFUSED};
 use crate::bookkeeping::store::Store;
 use crate::service::controller::wall_ms;
 use crate::service::upgrade::records;
@@ -61,25 +61,20 @@
     | UpgradeCommand::Plan(files)
     | UpgradeCommand::Finalize(files)
     | UpgradeCommand::Abort(files)) = command;
-    let settings = match Settings::load(&files.config, None, files.upgrade.as_deref()) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("stairstage: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
+    with_settings(&files.config, None, files.upgrade.as_deref(), |settings| {
+        let session = Session {
+            policy: settings.upgrade.clone().unwrap_or_default(),
+            store: Store::new(settings.endpoints.state, CONNECTIONS),
+            format: files.format,
+            settings,
+        };
+        match command {
+            UpgradeCommand::Status(_) => session.status(),
+            UpgradeCommand::Plan(_) => session.plan(),
+            UpgradeCommand::Finalize(_) => session.change(Request::Finalize(Asked::ByOperator)),
+            UpgradeCommand::Abort(_) => session.change(Request::Abort),
         }
-    };
-    let session = Session {
-        policy: settings.upgrade.clone().unwrap_or_default(),
-        store: Store::new(settings.endpoints.state, CONNECTIONS),
-        format: files.format,
-        settings,
-    };
-    match command {
-        UpgradeCommand::Status(_) => session.status(),
-        UpgradeCommand::Plan(_) => session.plan(),
-        UpgradeCommand::Finalize(_) => session.change(Request::Finalize(Asked::ByOperator)),
-        UpgradeCommand::Abort(_) => session.change(Request::Abort),
-    }
+    })
 }
 
 impl Session {
--- a/src/coordination/requests/answers.rs
+++ b/src/coordination/requests/answers.rs
@@ -1,6 +1,7 @@
 //! The answers to users' requests, and those of other controllers.
 
 use crate::protocol::job::{JobState, JobStatus};
+use crate::protocol::TOO_MANY_REQUESTS;
 use serde_json::{json, Value};
 
 /// Seconds after which a request that can't be answered now is worth repeating.
@@ -134,8 +135,6 @@
     pub retry_after: Option<u32>,
 }
 
-const TOO_MANY_REQUESTS: u16 = 429;
-
 impl PeerAnswer {
     pub(super) fn is_server_error(&self) -> bool {
         self.status >= 500
--- a/src/coordination/requests/polls/known_jobs.rs
+++ b/src/coordination/requests/polls/known_jobs.rs
@@ -1,19 +1,13 @@
 //! What a node remembers of jobs, none of which ever changes: that they were accepted, what they
 //! wait for, and how they ended.
 
-use crate::bookkeeping::index::EndIndex;
+use crate::bookkeeping::index::{EndIndex, RecentJobs};
 use crate::protocol::job::JobState;
-use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
 
-type Name = Arc<str>;
-
-/// The most recent jobs, bounded in number: the records have them all.
+/// The most recent jobs.
 pub(super) struct KnownJobs {
-    most: usize,
     /// For each accepted job, those that it waits for.
-    accepted: HashMap<Name, Vec<Name>>,
-    order: VecDeque<Name>,
+    accepted: RecentJobs<Vec<String>>,
     ends: EndIndex,
 }
 
@@ -31,28 +25,16 @@
 }
 
 impl KnownJobs {
+    /// Remembers as many accepted jobs as ends.
     pub(super) fn new(most: usize) -> KnownJobs {
         KnownJobs {
-            most: most.max(1),
-            accepted: HashMap::new(),
-            order: VecDeque::new(),
-            ends: EndIndex::new(most),
+            accepted: RecentJobs::new(most),
+            ends: RecentJobs::new(most),
         }
     }
 
     pub(super) fn accepted(&mut self, job: &str, waits_on: &[String]) {
-        if self.accepted.contains_key(job) {
-            return;
-        }
-        let name: Name = job.into();
-        let waits_on = waits_on.iter().map(|needed| needed.as_str().into());
-        self.accepted.insert(name.clone(), waits_on.collect());
-        self.order.push_back(name);
-        if self.order.len() > self.most {
-            if let Some(oldest) = self.order.pop_front() {
-                self.accepted.remove(&oldest);
-            }
-        }
+        self.accepted.insert(job, waits_on.to_vec());
     }
 
     pub(super) fn ended(&mut self, job: &str, state: JobState) {
@@ -60,7 +42,7 @@
     }
 
     pub(super) fn end(&self, job: &str) -> Option<JobState> {
-        self.ends.get(job)
+        self.ends.get(job).copied()
     }
 
     pub(super) fn waits_for_nothing(&self, job: &str) -> bool {
@@ -69,21 +51,21 @@
 
     /// `None` for a job that is not known to be accepted.
     pub(super) fn prerequisites(&self, job: &str, most: usize) -> Option<Prerequisites> {
-        let mut left: Vec<&Name> = self.accepted.get(job)?.iter().collect();
+        let mut left: Vec<&String> = self.accepted.get(job)?.iter().collect();
         let mut open: Vec<String> = Vec::new();
         while let Some(needed) = left.pop() {
             match self.ends.get(needed) {
                 Some(JobState::Cancelled) => return Some(Prerequisites::Cancelled),
                 Some(_) => continue,
-                None if open.iter().any(|known| **known == **needed) => continue,
+                None if open.contains(needed) => continue,
                 None if open.len() == most => return Some(Prerequisites::TooMany),
                 None => {}
             }
             match self.accepted.get(needed) {
                 Some(further) => left.extend(further),
-                None => return Some(Prerequisites::Unread(needed.to_string())),
+                None => return Some(Prerequisites::Unread(needed.clone())),
             }
-            open.push(needed.to_string());
+            open.push(needed.clone());
         }
         Some(Prerequisites::Open(open))
     }
--- a/src/coordination/requests/polls/mod.rs
+++ b/src/coordination/requests/polls/mod.rs
@@ -61,8 +61,8 @@
 pub enum Effect {
     /// Call the state service: [`PollBatcher::on`].
     Store(StoreCall),
-    /// The job's end is on record. Comes before every answer that tells of it.
-    Ended(String, JobState),
+    /// The ends of these jobs are on record. Comes before every answer that tells of one.
+    Ended(Vec<(String, JobState)>),
     Answer(u64, Answer),
     /// This node can't ask the state service: another may answer.
     HandOn(u64),
@@ -92,9 +92,14 @@
         }
     }
 
-    /// Polls that are compared in a second if each takes two conditions.
+    /// Polls that one comparison takes if each has two conditions.
+    fn polls_a_comparison(&self) -> usize {
+        (self.conditions / 2).max(1)
+    }
+
+    /// Polls that are compared in a second.
     fn polls_per_s(&self) -> f64 {
-        COMPARISONS_SHARE * self.requests_per_s * (self.conditions / 2) as f64
+        COMPARISONS_SHARE * self.requests_per_s * self.polls_a_comparison() as f64
     }
 }
 
@@ -231,7 +236,7 @@
         self.sort_by_rank(&mut waiting);
         let mut comparison = Comparison::new(self.limits.conditions);
         for poll in waiting {
-            match Claim::of(&poll.poll, &self.known, self.limits.conditions / 2) {
+            match Claim::of(&poll.poll, &self.known, self.limits.polls_a_comparison()) {
                 Claim::ToRead(read) => self.read_for(poll, read),
                 Claim::Absent(keys) => {
                     if let Some(poll) = comparison.add(poll, keys) {
@@ -295,7 +300,8 @@
     fn not_reached(&mut self, compared: Vec<WaitingPoll>, now: Time) -> Vec<Effect> {
         self.unreached_until = now + UNREACHED_S;
         let waiting = std::mem::take(&mut self.waiting);
-        let reading = self.take_reading(|_| true);
+        let reading = std::mem::take(&mut self.reading).into_iter();
+        let reading = reading.map(|(poll, _)| poll);
         let all = compared.into_iter().chain(waiting).chain(reading);
         all.map(|poll| Effect::HandOn(poll.number)).collect()
     }
@@ -306,10 +312,17 @@
     }
 }
 
+/// Takes out of a list what is wanted; the others stay in their order.
+fn take_where<T>(list: &mut Vec<T>, is_wanted: impl Fn(&T) -> bool) -> Vec<T> {
+    let (taken, left) = std::mem::take(list).into_iter().partition(is_wanted);
+    *list = left;
+    taken
+}
+
 fn end_told(number: u64, job: &str, state: JobState) -> Vec<Effect> {
     let status = without_counts(job, state);
     vec![
-        Effect::Ended(job.to_string(), state),
+        Effect::Ended(vec![(job.to_string(), state)]),
         Effect::Answer(number, Answer::Known(status)),
     ]
 }
--- a/src/coordination/requests/polls/overload.rs
+++ b/src/coordination/requests/polls/overload.rs
@@ -1,6 +1,6 @@
 //! Polls that the node's share of requests does not suffice for.
 
-use super::{Effect, PollBatcher, WaitingPoll, COMPARISONS_SHARE, PATIENCE_S};
+use super::{take_where, Effect, PollBatcher, WaitingPoll, COMPARISONS_SHARE, PATIENCE_S};
 use crate::coordination::requests::{Answer, Reason};
 use crate::coordination::Time;
 
@@ -17,21 +17,20 @@
         Effect::Answer(poll.number, Answer::Later(reason))
     }
 
+    pub(super) fn turn_all_away(&mut self, polls: Vec<WaitingPoll>, now: Time) -> Vec<Effect> {
+        let polls = polls.into_iter();
+        polls.map(|poll| self.turn_away(poll, now)).collect()
+    }
+
     /// Those that have waited for too long; what is to be read for them still is.
     pub(super) fn turn_overdue_away(&mut self, now: Time) -> Vec<Effect> {
         if now < self.overdue_at {
             return Vec::new();
         }
         let is_overdue = |poll: &WaitingPoll| now >= poll.overdue_at();
-        let (mut overdue, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(is_overdue);
-        self.waiting = waiting;
-        let (late, reading): (Vec<_>, Vec<_>) = std::mem::take(&mut self.reading)
-            .into_iter()
-            .partition(|(poll, _)| is_overdue(poll));
-        self.reading = reading;
-        overdue.extend(late.into_iter().map(|(poll, _)| poll));
+        let mut overdue = take_where(&mut self.waiting, is_overdue);
+        let reading = take_where(&mut self.reading, |(poll, _)| is_overdue(poll));
+        overdue.extend(reading.into_iter().map(|(poll, _)| poll));
         let left = self
             .waiting
             .iter()
@@ -39,8 +38,7 @@
         self.overdue_at = left
             .map(WaitingPoll::overdue_at)
             .fold(Time::INFINITY, Time::min);
-        let turned_away = overdue.into_iter();
-        turned_away.map(|poll| self.turn_away(poll, now)).collect()
+        self.turn_all_away(overdue, now)
     }
 
     /// More than can be compared within the patience of a poll: the last in order go at once.
@@ -48,7 +46,7 @@
         let to_come = self.limits.requests_per_s * PATIENCE_S;
         let requests = self.requests.level(now) + to_come;
         let comparisons = (COMPARISONS_SHARE * requests).ceil() as usize;
-        let most = comparisons * (self.limits.conditions / 2).max(1);
+        let most = comparisons * self.limits.polls_a_comparison();
         if self.waiting.len() <= most {
             return Vec::new();
         }
@@ -56,7 +54,6 @@
         self.sort_by_rank(&mut waiting);
         let excess = waiting.split_off(most);
         self.waiting = waiting;
-        let turned_away = excess.into_iter();
-        turned_away.map(|poll| self.turn_away(poll, now)).collect()
+        self.turn_all_away(excess, now)
     }
 }
--- a/src/coordination/requests/polls/read_results.rs
+++ b/src/coordination/requests/polls/read_results.rs
@@ -1,7 +1,7 @@
 //! What the records that were read say to the polls that have waited for them.
 
 use super::reads::{self, is_covered, Found, Read, RecordKind};
-use super::{Effect, PollBatcher, WaitingPoll};
+use super::{take_where, Effect, PollBatcher, WaitingPoll};
 use crate::bookkeeping::store::Unavailable;
 use crate::coordination::requests::answers::without_counts;
 use crate::coordination::requests::steps::StoreAnswer;
@@ -14,7 +14,7 @@
     pub(super) fn one_read(&mut self, read: &Read, answer: StoreAnswer, now: Time) -> Vec<Effect> {
         match reads::found_one(read.kind, answer) {
             Ok(Some(found)) => {
-                let mut effects = Vec::from_iter(self.learn(&read.job, found));
+                let mut effects = self.learn(vec![(read.job.clone(), found)]);
                 effects.extend(self.answer_readers(|r| r == read));
                 effects
             }
@@ -33,33 +33,39 @@
             return self.read_failed(first, now);
         };
         let last = page.last.as_deref();
-        let told: HashSet<String> = page.found.iter().map(|(job, _)| job.clone()).collect();
-        let mut effects = Vec::new();
-        for (job, found) in page.found {
-            effects.extend(self.learn(&job, found));
-        }
         self.reads.covered(first, last);
         let is_told =
             |read: &Read| read.kind == first.kind && is_covered(&read.job, &first.job, last);
-        effects.extend(self.answer_readers(|r| is_told(r) && told.contains(&r.job)));
+        let found: HashSet<String> = page.found.iter().map(|(job, _)| job.clone()).collect();
+        let mut effects = self.learn(page.found);
+        effects.extend(self.answer_readers(|r| is_told(r) && found.contains(&r.job)));
         effects.extend(self.not_found(first.kind, is_told, now));
         effects
     }
 
-    /// Remembers what a record says; the end that it tells of.
-    fn learn(&mut self, job: &str, found: Found) -> Option<Effect> {
-        let end = match found {
-            Found::Ended(state) => state,
-            Found::Open {
-                waits_on,
-                cancelled,
-            } => {
-                self.known.accepted(job, &waits_on);
-                cancelled.then_some(JobState::Cancelled)?
+    /// Remembers what records say; the ends that they tell of, together.
+    fn learn(&mut self, records: Vec<(String, Found)>) -> Vec<Effect> {
+        let mut ends = Vec::new();
+        for (job, found) in records {
+            let end = match found {
+                Found::Ended(state) => Some(state),
+                Found::Open {
+                    waits_on,
+                    cancelled,
+                } => {
+                    self.known.accepted(&job, &waits_on);
+                    cancelled.then_some(JobState::Cancelled)
+                }
+            };
+            if let Some(state) = end {
+                self.known.ended(&job, state);
+                ends.push((job, state));
             }
-        };
-        self.known.ended(job, end);
-        Some(Effect::Ended(job.to_string(), end))
+        }
+        match ends.is_empty() {
+            true => Vec::new(),
+            false => vec![Effect::Ended(ends)],
+        }
     }
 
     /// Answers the polls whose records are known now. An open job was open when it was compared;
@@ -67,16 +73,16 @@
     fn answer_readers(&mut self, is_known: impl Fn(&Read) -> bool) -> Vec<Effect> {
         let mut effects = Vec::new();
         for poll in self.take_reading(is_known) {
-            let job = poll.poll.job.clone();
-            let state = match self.known.end(&job) {
+            let job = &poll.poll.job;
+            let state = match self.known.end(job) {
                 Some(state) => state,
-                None if self.known.waits_for_nothing(&job) => JobState::Pending,
+                None if self.known.waits_for_nothing(job) => JobState::Pending,
                 None => {
                     self.wait(poll);
                     continue;
                 }
             };
-            let status = without_counts(&job, state);
+            let status = without_counts(job, state);
             effects.push(self.answer(&poll, Answer::Known(status)));
         }
         effects
@@ -90,32 +96,26 @@
         is_missing: impl Fn(&Read) -> bool,
         now: Time,
     ) -> Vec<Effect> {
-        let (missing, reading): (Vec<_>, Vec<_>) = std::mem::take(&mut self.reading)
-            .into_iter()
-            .partition(|(_, read)| is_missing(read));
-        self.reading = reading;
-        let mut effects = Vec::new();
+        let missing = take_where(&mut self.reading, |(_, read)| is_missing(read));
+        if kind == RecordKind::End {
+            let polls = missing.into_iter().map(|(poll, _)| poll).collect();
+            return self.turn_all_away(polls, now);
+        }
         for (poll, read) in missing {
-            match kind {
-                RecordKind::Open => self.read_for(poll, Read::end(&read.job)),
-                RecordKind::End => effects.push(self.turn_away(poll, now)),
-            }
+            self.read_for(poll, Read::end(&read.job));
         }
-        effects
+        Vec::new()
     }
 
     /// It is read again for those that ask again.
     fn read_failed(&mut self, read: &Read, now: Time) -> Vec<Effect> {
         self.reads.add(read);
         let polls = self.take_reading(|r| r == read);
-        polls.into_iter().map(|p| self.turn_away(p, now)).collect()
+        self.turn_all_away(polls, now)
     }
 
-    pub(super) fn take_reading(&mut self, is_read: impl Fn(&Read) -> bool) -> Vec<WaitingPoll> {
-        let (taken, reading): (Vec<_>, Vec<_>) = std::mem::take(&mut self.reading)
-            .into_iter()
-            .partition(|(_, read)| is_read(read));
-        self.reading = reading;
+    fn take_reading(&mut self, is_read: impl Fn(&Read) -> bool) -> Vec<WaitingPoll> {
+        let taken = take_where(&mut self.reading, |(_, read)| is_read(read));
         taken.into_iter().map(|(poll, _)| poll).collect()
     }
 }
--- a/src/coordination/requests/polls/reads.rs
+++ b/src/coordination/requests/polls/reads.rs
@@ -235,11 +235,10 @@
     kind: RecordKind,
     answer: StoreAnswer,
 ) -> Result<Option<Found>, Unavailable> {
-    let StoreAnswer::Read(read) = answer else {
-        return Err(Unavailable);
-    };
-    let item = read?;
-    Ok(item.and_then(|item| found(kind, item.value)))
+    Ok(match kind {
+        RecordKind::End => answer.value()?.and_then(|(record, _)| ended(record)),
+        RecordKind::Open => answer.value()?.map(|(record, _)| open(record)),
+    })
 }
 
 /// What a page says.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -10,3 +10,6 @@
 
 /// The longest body that a request may have, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
+
+/// The status of a request beyond the rate that a service allows.
+pub const TOO_MANY_REQUESTS: u16 = 429;
--- a/src/service/cloud_calls.rs
+++ b/src/service/cloud_calls.rs
@@ -7,6 +7,7 @@
 use crate::bookkeeping::store::{Outcome, Store};
 use crate::protocol::cloud::*;
 use crate::protocol::store::Transaction;
+use crate::protocol::TOO_MANY_REQUESTS;
 use crate::settings::Settings;
 use crate::transport::client::{Answer, Client};
 use crossbeam::channel::{bounded, Receiver, Sender};
@@ -27,8 +28,6 @@
 const QUEUE: usize = 256;
 const PATIENCE: Duration = Duration::from_secs(4);
 const TRIES: u32 = 6;
-/// The status of a call beyond the cloud's rate.
-const TOO_MANY_REQUESTS: u16 = 429;
 /// Bytes of one page of a list, far above the 500 machines that it may hold.
 const MOST_PAGE_BYTES: u64 = 4 * 1024 * 1024;
 
--- a/src/service/controller/mod.rs
+++ b/src/service/controller/mod.rs
@@ -249,7 +249,7 @@
         let now = self.now();
         let mut unknown = Vec::new();
         for id in ids {
-            match (self.ends.get(&id), &mut self.role) {
+            match (self.ends.get(&id).copied(), &mut self.role) {
                 (Some(state), Role::Leading(core)) => core.ended(&id, state, now),
                 _ => unknown.push(id),
             }
@@ -279,7 +279,11 @@
             }
             Message::Clearance(clearance) => self.cleared(clearance),
             Message::Opened(opened) => self.opened(opened),
-            Message::Ended(id, state) => self.ended(&id, state),
+            Message::Ended(ends) => {
+                for (id, state) in ends {
+                    self.ended(&id, state);
+                }
+            }
             Message::EndsRecorded(ends) => {
                 for (id, state) in ends {
                     self.ends.insert(&id, state);
@@ -345,7 +349,7 @@
 
     fn locate(&mut self, id: &str) -> Located {
         let now = self.now();
-        let mut status = self.ends.get(id).map(|state| JobStatus {
+        let mut status = self.ends.get(id).map(|&state| JobStatus {
             id: id.to_string(),
             state,
             done: 0,
--- a/src/service/end_notifier.rs
+++ b/src/service/end_notifier.rs
@@ -15,13 +15,13 @@
 }
 
 impl EndNotifier {
-    /// Notes how a job has ended.
-    pub fn note(&self, id: &str, state: JobState) {
-        if state == JobState::Cancelled {
-            self.cancellations.record(id);
+    /// Notes how jobs have ended, in one message, however many there are.
+    pub fn note(&self, ends: Vec<(String, JobState)>) {
+        for (id, state) in &ends {
+            if *state == JobState::Cancelled {
+                self.cancellations.record(id);
+            }
         }
-        let _ = self
-            .controller
-            .try_send(Message::Ended(id.to_string(), state));
+        let _ = self.controller.try_send(Message::Ended(ends));
     }
 }
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -244,7 +244,7 @@
                     continue;
                 }
                 Effect::Ended(state) => {
-                    self.ends.note(request.job(), state);
+                    self.ends.note(vec![(request.job().to_string(), state)]);
                     continue;
                 }
                 Effect::LookUp(poll) => return Answered::LookUp(poll),
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -30,7 +30,8 @@
     Locate(String, Sender<Located>),
     /// Jobs that were accepted or cancelled, as their records say, with the versions of these.
     Opened(Vec<(OpenRecord, u64)>),
-    Ended(String, JobState),
+    /// How jobs have ended, as the state service or the leader says.
+    Ended(Vec<(String, JobState)>),
     /// Ends that are on record, as a watch tells.
     EndsRecorded(Vec<(String, JobState)>),
     /// How jobs ended that were looked up, if they did.
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -80,17 +80,10 @@
     Ok(Polls(tx))
 }
 
-/// Who asked about a job.
-struct Asked {
-    job: String,
-    from_peer: bool,
-    respond: Respond,
-}
-
 struct Stage {
     batcher: PollBatcher,
     /// Who gets the answers to the polls that the batcher has.
-    asked: HashMap<u64, Asked>,
+    asked: HashMap<u64, UserPoll>,
     last_number: u64,
     begun: Instant,
     store: Store,
@@ -121,18 +114,9 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Poll(UserPoll {
-                poll,
-                from_peer,
-                respond,
-            }) => {
+            Input::Poll(asked) => {
                 self.last_number += 1;
-                let job = poll.job.clone();
-                let asked = Asked {
-                    job,
-                    from_peer,
-                    respond,
-                };
+                let poll = asked.poll.clone();
                 self.asked.insert(self.last_number, asked);
                 let effects = self.batcher.ask(self.last_number, poll, self.now());
                 self.carry_out(effects);
@@ -147,10 +131,10 @@
     }
 
     /// Has another controller answer, unless this one was asked by another itself.
-    fn hand_on(&self, poll: Asked) {
-        match poll.from_peer {
-            true => (poll.respond)(reply_of(Answer::Later(Reason::NoStateService))),
-            false => gateway::offer(&self.gateway, Task::hand_on(poll.job, poll.respond)),
+    fn hand_on(&self, asked: UserPoll) {
+        match asked.from_peer {
+            true => (asked.respond)(reply_of(Answer::Later(Reason::NoStateService))),
+            false => gateway::offer(&self.gateway, Task::hand_on(asked.poll.job, asked.respond)),
         }
     }
 
@@ -162,15 +146,15 @@
                     let answer = store_answer(&self.store, call);
                     effects.extend(self.batcher.on(answer, self.now()));
                 }
-                Effect::Ended(job, state) => self.ends.note(&job, state),
+                Effect::Ended(ends) => self.ends.note(ends),
                 Effect::Answer(number, answer) => {
                     if let Some(asked) = self.asked.remove(&number) {
                         (asked.respond)(reply_of(answer));
                     }
                 }
                 Effect::HandOn(number) => {
-                    if let Some(poll) = self.asked.remove(&number) {
-                        self.hand_on(poll);
+                    if let Some(asked) = self.asked.remove(&number) {
+                        self.hand_on(asked);
                     }
                 }
             }
--- a/src/service/upgrade/records.rs
+++ b/src/service/upgrade/records.rs
@@ -5,6 +5,7 @@
 use crate::settings::Settings;
 use serde::de::DeserializeOwned;
 use stairstage_upgrade::operation::{self, Change, Committed, Operation, Request, Step};
+use stairstage_upgrade::plan::Timing;
 use stairstage_upgrade::records::{member_key, seen_key, Controller, VERSION};
 use stairstage_upgrade::{Snapshot, UpgradePolicy, VersionRecord};
 use std::collections::BTreeMap;
@@ -12,9 +13,7 @@
 use tracing::warn;
 
 /// The prefix of all of them.
-pub const CLUSTER: &str = "cluster/";
-/// Records of one cluster that are read at the most: three for each controller, and the version's.
-const MOST_RECORDS: usize = 1000;
+const CLUSTER: &str = "cluster/";
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// The controllers that the settings name, this one among them.
@@ -25,15 +24,10 @@
     names
 }
 
-/// How long every controller must run before the policy finalizes, in seconds.
-pub fn soak_s(settings: &Settings, policy: &UpgradePolicy) -> f64 {
-    policy.soak * settings.cluster.workers.cancel_s
-}
-
 /// All records, and the revision as of which they were read.
 pub fn read(store: &Store, controllers: &[String]) -> Result<(Snapshot, u64), Unavailable> {
-    let page = store.page(CLUSTER, None, MOST_RECORDS)?;
-    let items = page.items.into_iter();
+    let (items, revision) = store.list(CLUSTER)?;
+    let items = items.into_iter();
     let mut records: BTreeMap<String, Item> = items.map(|i| (i.key.clone(), i)).collect();
     let version = take::<VersionRecord>(&mut records, VERSION);
     let controllers = controllers.iter().map(|name| Controller {
@@ -48,7 +42,7 @@
         stamp,
         controllers,
     };
-    Ok((snapshot, page.revision))
+    Ok((snapshot, revision))
 }
 
 fn take<T: DeserializeOwned>(records: &mut BTreeMap<String, Item>, key: &str) -> Option<(T, u64)> {
@@ -89,15 +83,11 @@
 }
 
 /// The figures of a plan.
-pub fn timing(
-    settings: &Settings,
-    policy: &UpgradePolicy,
-    now_ms: u64,
-) -> stairstage_upgrade::plan::Timing {
-    stairstage_upgrade::plan::Timing {
+pub fn timing(settings: &Settings, policy: &UpgradePolicy, now_ms: u64) -> Timing {
+    Timing {
         now_ms,
         skew_ms: settings.cluster.skew_ms as u64,
-        soak_s: soak_s(settings, policy),
+        soak_s: policy.soak * settings.cluster.workers.cancel_s,
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,15 +7,19 @@
 
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::*;
+use stairstage::bookkeeping::store::Outcome;
 use stairstage::coordination::core::{Core, Effect, Ordered, ReportOutcome, Written};
 use stairstage::coordination::recovery::Records;
+use stairstage::coordination::requests::Context;
 use stairstage::coordination::state::Name;
 use stairstage::protocol::cloud::MachineType;
 use stairstage::protocol::job::JobSpec;
-use stairstage::protocol::store::{Change, Condition, Item, Transaction};
+use stairstage::protocol::store::{Change, Condition, Item, Page, Transaction};
 use stairstage::protocol::worker::*;
 use stairstage::settings::Settings;
+use stairstage_upgrade::fence::Clearance;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 /// The only type of machine: room for four tasks of a job as described below.
@@ -61,6 +65,18 @@
 limits = { ram_mb = 100.0, max_sockets = 500 }
 "#;
 
+/// What a user's request finds at a node that may write so much.
+pub fn request_context(clearance: Clearance) -> Context {
+    Context {
+        settings: Arc::new(Settings::parse("test", SETTINGS).unwrap()),
+        types: Arc::new(vec![machine_type()]),
+        clearance,
+        peers: vec!["b".into(), "c".into()],
+        from_peer: false,
+        now_ms: 0,
+    }
+}
+
 pub fn core() -> Core {
     core_with_token(1)
 }
@@ -258,6 +274,30 @@
         })
     }
 
+    /// What a comparison of these conditions gives.
+    pub fn compared(&self, txn: &Transaction) -> Outcome {
+        let conflicts = self.conflicts(txn);
+        match conflicts.is_empty() {
+            true => Outcome::Applied(self.revision),
+            false => Outcome::Conflict(conflicts),
+        }
+    }
+
+    /// The first items under a prefix that come after a key.
+    pub fn page(&self, prefix: &str, after: &str, limit: usize) -> Page {
+        let behind = (Bound::Excluded(after), Bound::Unbounded);
+        let keys = self.values.range::<str, _>(behind).map(|(key, _)| key);
+        let keys = keys.filter(|key| key.starts_with(prefix)).take(limit + 1);
+        let mut items: Vec<Item> = keys.filter_map(|key| self.item(key)).collect();
+        let more = items.len() > limit;
+        items.truncate(limit);
+        Page {
+            items,
+            more,
+            revision: self.revision,
+        }
+    }
+
     pub fn under(&self, prefix: &str) -> Vec<Item> {
         let keys = self.values.keys().filter(|k| k.starts_with(prefix));
         keys.filter_map(|k| self.item(k)).collect()
--- a/tests/fences.rs
+++ b/tests/fences.rs
@@ -7,13 +7,12 @@
 use stairstage::bookkeeping::records::{end_key, open_key, LEADER};
 use stairstage::bookkeeping::store::Outcome;
 use stairstage::coordination::core::{Core, Effect as CoreEffect, Written};
-use stairstage::coordination::requests::{Context, Effect, Event, Request, StoreAnswer, StoreCall};
+use stairstage::coordination::requests::{Effect, Event, Request, StoreAnswer, StoreCall};
 use stairstage::protocol::store::{Item, Transaction};
 use stairstage::settings::{Settings, CONDITIONS_A_CHANGE};
 use stairstage_upgrade::fence::Clearance;
 use stairstage_upgrade::records::VERSION;
 use stairstage_upgrade::{ClusterVersion, Fence, VersionRange, VersionRecord};
-use std::sync::Arc;
 
 const STAMP: u64 = 5;
 const LATER_STAMP: u64 = 9;
@@ -129,17 +128,6 @@
     assert_eq!(transaction.conditions.len(), most);
 }
 
-fn context(clearance: Clearance) -> Context {
-    Context {
-        settings: Arc::new(Settings::parse("test", SETTINGS).unwrap()),
-        types: Arc::new(vec![machine_type()]),
-        clearance,
-        peers: vec!["b".into()],
-        from_peer: false,
-        now_ms: 0,
-    }
-}
-
 fn committed(effects: &[Effect]) -> &Transaction {
     match effects {
         [Effect::Store(StoreCall::Commit(transaction))] => transaction,
@@ -160,7 +148,8 @@
 #[test]
 fn a_submission_at_an_old_version_is_turned_away_and_never_called_known() {
     let body = submission("req-1", "sweep", "normal", 4).to_string();
-    let (mut request, effects) = Request::submission(body.as_bytes(), context(clearance(1)));
+    let (mut request, effects) =
+        Request::submission(body.as_bytes(), request_context(clearance(1)));
     assert_eq!(stamp_in(committed(&effects)), Some(STAMP));
     let answer = request.on(version_raised());
     assert!(is_turned_away(&answer), "{answer:?}");
@@ -168,7 +157,7 @@
 
 #[test]
 fn a_cancellation_at_an_old_version_is_turned_away() {
-    let (mut request, _) = Request::cancellation("req-1".into(), context(clearance(1)));
+    let (mut request, _) = Request::cancellation("req-1".into(), request_context(clearance(1)));
     let mut store = Store::default();
     let body = submission("req-1", "sweep", "normal", 4);
     let open = json!({"spec": serde_json::to_value(parsed(&body)).unwrap(), "at_ms": 0});
@@ -189,13 +178,13 @@
 #[test]
 fn a_job_that_waits_is_taken_from_the_version_on_that_all_controllers_know() {
     let body = waiting_submission();
-    let (_, closed) = Request::submission(body.as_bytes(), context(clearance(1)));
+    let (_, closed) = Request::submission(body.as_bytes(), request_context(clearance(1)));
     assert!(
         matches!(closed[..], [Effect::Store(StoreCall::Read(_))]),
         "{closed:?}"
     );
     for open in [clearance(2), Clearance::Unstaged] {
-        let (_, effects) = Request::submission(body.as_bytes(), context(open));
+        let (_, effects) = Request::submission(body.as_bytes(), request_context(open));
         let asks_for_needed = committed(&effects).conditions.iter();
         let keys: Vec<&str> = asks_for_needed.map(|c| c.key.as_str()).collect();
         assert!(keys.contains(&open_key("req-1").as_str()), "{keys:?}");
@@ -205,7 +194,7 @@
 #[test]
 fn a_job_that_waits_and_was_accepted_before_is_known_at_any_version() {
     let body = waiting_submission();
-    let (mut request, _) = Request::submission(body.as_bytes(), context(clearance(1)));
+    let (mut request, _) = Request::submission(body.as_bytes(), request_context(clearance(1)));
     request.on(Event::Store(StoreAnswer::Read(Ok(None))));
     let mut store = Store::default();
     let end = json!({"state": "done"});
--- a/tests/lookups.rs
+++ b/tests/lookups.rs
@@ -7,11 +7,10 @@
 use stairstage::bookkeeping::records::{end_key, open_key, OpenRecord};
 use stairstage::bookkeeping::store::Outcome;
 use stairstage::coordination::requests::polls::{Effect, Limits, Poll, PollBatcher};
-use stairstage::coordination::requests::{self, Context, Event, Request, StoreAnswer, StoreCall};
+use stairstage::coordination::requests::{self, Event, Request, StoreAnswer, StoreCall};
 use stairstage::protocol::job::JobState;
 use stairstage::settings::Settings;
 use stairstage_upgrade::fence::Clearance;
-use std::sync::Arc;
 
 fn settings() -> Settings {
     Settings::parse("test", SETTINGS).unwrap()
@@ -57,13 +56,7 @@
 fn answer_of(store: &Store, call: StoreCall) -> StoreAnswer {
     match call {
         StoreCall::Read(key) => StoreAnswer::Read(Ok(store.item(&key))),
-        StoreCall::Commit(transaction) => {
-            let conflicts = store.conflicts(&transaction);
-            StoreAnswer::Committed(match conflicts.is_empty() {
-                true => Outcome::Applied(store.revision),
-                false => Outcome::Conflict(conflicts),
-            })
-        }
+        StoreCall::Commit(transaction) => StoreAnswer::Committed(store.compared(&transaction)),
         list => panic!("one record is not read in a page: {list:?}"),
     }
 }
@@ -139,6 +132,37 @@
     assert!(retries.iter().all(|after| *after <= 5));
 }
 
+#[test]
+fn the_ends_that_a_page_tells_of_come_in_one_effect_before_the_answers() {
+    let mut store = Store::default();
+    for job in ["req-1", "req-2", "req-3"] {
+        let end = json!({"state": "done"});
+        store.values.insert(end_key(job), (end, 1));
+    }
+    let mut batcher = batcher();
+    batcher.ask(1, poll("req-1"), 0.0);
+    batcher.ask(2, poll("req-2"), 0.0);
+    batcher.next(0.0);
+    let present = Outcome::Conflict(vec![end_key("req-1"), end_key("req-2")]);
+    assert!(batcher.on(StoreAnswer::Committed(present), 0.0).is_empty());
+    let lists = batcher.next(0.1);
+    let [Effect::Store(StoreCall::List {
+        under,
+        after,
+        limit,
+    })] = &lists[..]
+    else {
+        panic!("{lists:?}");
+    };
+    let page = store.page(under, after, *limit);
+    let told = batcher.on(StoreAnswer::Listed(Ok(page)), 0.1);
+    let [Effect::Ended(ends), Effect::Answer(1, _), Effect::Answer(2, _)] = &told[..] else {
+        panic!("{told:?}");
+    };
+    let done = |job: &str| (job.to_string(), JobState::Done);
+    assert_eq!(*ends, ["req-1", "req-2", "req-3"].map(done));
+}
+
 fn is_handed_on(effects: &[Effect], number: u64) -> bool {
     matches!(effects, [Effect::HandOn(n)] if *n == number)
 }
@@ -165,21 +189,11 @@
     assert!(matches!(batcher.next(0.2)[..], [Effect::Store(_)]));
 }
 
-fn context() -> Context {
-    Context {
-        settings: Arc::new(settings()),
-        types: Arc::new(vec![machine_type()]),
-        clearance: Clearance::Unstaged,
-        peers: vec!["b".into(), "c".into()],
-        from_peer: false,
-        now_ms: 0,
-    }
-}
-
 #[test]
 fn what_is_beyond_the_limit_of_the_state_service_is_not_asked_of_other_nodes() {
     let body = submission("req-1", "sweep", "normal", 4).to_string();
-    let (mut request, _) = Request::submission(body.as_bytes(), context());
+    let (mut request, _) =
+        Request::submission(body.as_bytes(), request_context(Clearance::Unstaged));
     let limited = Event::Store(StoreAnswer::Committed(Outcome::Limited));
     let told = request.on(limited);
     let turned_away = matches!(&told[..], [requests::Effect::Answer(answer)]
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -30,11 +30,7 @@
     }
     Context {
         settings: Arc::new(settings),
-        types: Arc::new(vec![machine_type()]),
-        clearance: Clearance::Unstaged,
-        peers: vec!["b".into(), "c".into()],
-        from_peer: false,
-        now_ms: 0,
+        ..request_context(Clearance::Unstaged)
     }
 }
 
--- a/tests/polls.rs
+++ b/tests/polls.rs
@@ -2,12 +2,11 @@
 //! the state service and others use most of its requests: no answer is older than one given before,
 //! no second sees more requests than the nodes' share, and every job is answered within a bound.
 
+mod common;
 #[path = "polls/jobs.rs"]
 mod jobs;
 #[path = "polls/nodes.rs"]
 mod nodes;
-#[path = "common/random.rs"]
-mod random;
 #[path = "polls/state_service.rs"]
 mod state_service;
 #[path = "polls/users.rs"]
--- a/tests/polls/jobs.rs
+++ b/tests/polls/jobs.rs
@@ -1,9 +1,10 @@
 //! Jobs: some wait for others, and all end some day.
 
-use crate::random::SplitMix64;
+use crate::common::random::SplitMix64;
+use crate::common::{parsed, submission};
 use serde_json::{json, Value};
 use stairstage::bookkeeping::records::{EndRecord, OpenRecord};
-use stairstage::protocol::job::{JobSpec, JobState};
+use stairstage::protocol::job::JobState;
 
 /// Every so many jobs, one waits for the one before it, and one is never submitted.
 const WAITS_EVERY: usize = 10;
@@ -25,11 +26,9 @@
 
 pub fn record_of(number: usize) -> Value {
     let waits_on: Vec<String> = waits_on(number).into_iter().map(id_of).collect();
-    let body = json!({"name_id":id_of(number),"duty":"c","crew":"t","rig":"sweep",
-        "precedence":"normal","legs":4,"cpus":1.0,"gpus":0.0,"mem_gb":1.0,"kit":"i","size_gb":1.0,
-        "hulls":null,"berth":null,"same_place":false,"spread":false,"driftwood":false,
-        "passage_s":20.0,"fix_interval_s":0.0,"fix_s":0.0,"due_s":null,"waits_on":waits_on});
-    let spec = JobSpec::parse(body.to_string().as_bytes()).expect("a job");
+    let mut body = submission(&id_of(number), "sweep", "normal", 4);
+    body["waits_on"] = json!(waits_on);
+    let spec = parsed(&body);
     serde_json::to_value(OpenRecord::accepted(spec, 0)).expect("plain data")
 }
 
--- a/tests/polls/nodes.rs
+++ b/tests/polls/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::jobs;
 use crate::state_service::StateService;
-use stairstage::bookkeeping::store::Outcome;
+use stairstage::bookkeeping::store::{Outcome, Unavailable};
 use stairstage::coordination::requests::polls::{Effect, Limits, Poll, PollBatcher};
 use stairstage::coordination::requests::{Answer, Reason, StoreAnswer, StoreCall};
 use stairstage::protocol::job::{JobState, JobStatus};
@@ -198,12 +198,8 @@
         let answer = match (self.is_cut_off(node), &call) {
             (false, _) => self.service.answer(&call, self.now),
             (true, StoreCall::Commit(_)) => StoreAnswer::Committed(Outcome::Refused),
-            (true, StoreCall::Read(_)) => {
-                StoreAnswer::Read(Err(stairstage::bookkeeping::store::Unavailable))
-            }
-            (true, StoreCall::List { .. }) => {
-                StoreAnswer::Listed(Err(stairstage::bookkeeping::store::Unavailable))
-            }
+            (true, StoreCall::Read(_)) => StoreAnswer::Read(Err(Unavailable)),
+            (true, StoreCall::List { .. }) => StoreAnswer::Listed(Err(Unavailable)),
         };
         let effects = self.nodes[node].batcher.on(answer, self.now);
         self.carry_out(node, effects);
--- a/tests/polls/state_service.rs
+++ b/tests/polls/state_service.rs
@@ -1,14 +1,14 @@
 //! A state service with a limit on requests, which others use for the most part.
 
+use crate::common::random::SplitMix64;
+use crate::common::Store;
 use crate::jobs;
-use crate::random::SplitMix64;
 use serde_json::Value;
 use stairstage::bookkeeping::budget::Budget;
 use stairstage::bookkeeping::records::{end_key, open_key};
-use stairstage::bookkeeping::store::Outcome;
+use stairstage::bookkeeping::store::{Outcome, Unavailable};
 use stairstage::coordination::requests::{StoreAnswer, StoreCall};
 use stairstage::protocol::job::JobState;
-use stairstage::protocol::store::{Item, Page, Transaction};
 use std::collections::BTreeMap;
 
 /// Jobs that end in a second.
@@ -18,8 +18,7 @@
 const OTHERS_SHARE: f64 = 0.9;
 
 pub struct StateService {
-    values: BTreeMap<String, (Value, u64)>,
-    revision: u64,
+    store: Store,
     requests: Budget,
     rps: f64,
     /// How jobs have ended.
@@ -33,8 +32,7 @@
 impl StateService {
     pub fn new(seed: u64, rps: f64, jobs: usize) -> StateService {
         let mut service = StateService {
-            values: BTreeMap::new(),
-            revision: 0,
+            store: Store::default(),
             requests: Budget::new(rps, rps),
             rps,
             ends: BTreeMap::new(),
@@ -51,8 +49,9 @@
     }
 
     fn write(&mut self, key: String, value: Value) {
-        self.revision += 1;
-        self.values.insert(key, (value, self.revision));
+        self.store.revision += 1;
+        let version = self.store.revision;
+        self.store.values.insert(key, (value, version));
     }
 
     /// Others ask for their part, and jobs end.
@@ -93,7 +92,7 @@
 
     fn record_end(&mut self, number: usize, state: JobState, value: &Value) {
         self.open.retain(|open| *open != number);
-        self.values.remove(&open_key(&jobs::id_of(number)));
+        self.store.values.remove(&open_key(&jobs::id_of(number)));
         self.write(end_key(&jobs::id_of(number)), value.clone());
         self.ends.insert(number, state);
     }
@@ -103,61 +102,24 @@
         let allowed = self.requests.take(now, 1.0);
         match call {
             StoreCall::Read(key) => StoreAnswer::Read(match allowed {
-                true => Ok(self.item(key)),
-                false => Err(stairstage::bookkeeping::store::Unavailable),
+                true => Ok(self.store.item(key)),
+                false => Err(Unavailable),
             }),
             StoreCall::List {
                 under,
                 after,
                 limit,
             } => StoreAnswer::Listed(match allowed {
-                true => Ok(self.page(under, after, *limit)),
-                false => Err(stairstage::bookkeeping::store::Unavailable),
+                true => Ok(self.store.page(under, after, *limit)),
+                false => Err(Unavailable),
             }),
+            StoreCall::Commit(transaction) if !transaction.changes.is_empty() => {
+                panic!("polls write nothing: {transaction:?}")
+            }
             StoreCall::Commit(transaction) => StoreAnswer::Committed(match allowed {
-                true => self.compare(transaction),
+                true => self.store.compared(transaction),
                 false => Outcome::Limited,
             }),
         }
     }
-
-    fn item(&self, key: &str) -> Option<Item> {
-        let (value, version) = self.values.get(key)?.clone();
-        let key = key.to_string();
-        Some(Item {
-            key,
-            value,
-            version,
-        })
-    }
-
-    fn page(&self, under: &str, after: &str, limit: usize) -> Page {
-        let keys = self.values.range(after.to_string()..).map(|(key, _)| key);
-        let keys = keys.filter(|key| key.as_str() > after && key.starts_with(under));
-        let mut items: Vec<Item> = keys
-            .take(limit + 1)
-            .filter_map(|key| self.item(key))
-            .collect();
-        let more = items.len() > limit;
-        items.truncate(limit);
-        Page {
-            items,
-            more,
-            revision: self.revision,
-        }
-    }
-
-    fn compare(&self, transaction: &Transaction) -> Outcome {
-        assert!(transaction.changes.is_empty(), "polls write nothing");
-        let version = |key: &String| self.values.get(key).map_or(0, |value| value.1);
-        let conditions = transaction.conditions.iter();
-        let failed: Vec<String> = conditions
-            .filter(|condition| version(&condition.key) != condition.version)
-            .map(|condition| condition.key.clone())
-            .collect();
-        match failed.is_empty() {
-            true => Outcome::Applied(self.revision),
-            false => Outcome::Conflict(failed),
-        }
-    }
 }
--- a/tests/polls/users.rs
+++ b/tests/polls/users.rs
@@ -1,8 +1,8 @@
 //! Users who ask about their jobs again and again, and hold the answers against the records.
 
+use crate::common::random::SplitMix64;
 use crate::jobs;
 use crate::nodes::{Cluster, Told, NODES};
-use crate::random::SplitMix64;
 use stairstage::coordination::requests::Answer;
 use stairstage::protocol::job::JobState;
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -28,9 +28,7 @@
 };
 use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::Change;
-use stairstage::settings::Settings;
 use stairstage_upgrade::fence::Clearance;
-use std::sync::Arc;
 
 /// What a combination has to come about for, over all schedules.
 const OFTEN: usize = 50;
@@ -143,12 +141,9 @@
 
 fn context(from_peer: bool) -> Context {
     Context {
-        settings: Arc::new(Settings::parse("test", common::SETTINGS).unwrap()),
-        types: Arc::new(vec![common::machine_type()]),
-        clearance: Clearance::Unstaged,
         peers: vec!["n1".into(), "n2".into()],
         from_peer,
-        now_ms: 0,
+        ..common::request_context(Clearance::Unstaged)
     }
 }
 
@@ -302,9 +297,9 @@
     let in_order = matches!(
         &told[..],
         [
-            polls::Effect::Ended(_, JobState::Cancelled),
+            polls::Effect::Ended(ends),
             polls::Effect::Answer(1, Answer::Known(_))
-        ]
+        ] if *ends == [(job.clone(), JobState::Cancelled)]
     );
     assert!(in_order, "{told:?}");
 }
--- a/tests/requests/leader.rs
+++ b/tests/requests/leader.rs
@@ -36,7 +36,7 @@
 
     pub fn locate(&mut self, node: usize, job: u8) -> Located {
         let id = id_of(job);
-        let end = self.nodes[node].ends.get(&id).map(|state| JobStatus {
+        let end = self.nodes[node].ends.get(&id).map(|&state| JobStatus {
             id: id.clone(),
             state,
             done: 0,
--- a/tests/requests/world.rs
+++ b/tests/requests/world.rs
@@ -12,7 +12,7 @@
     Answer, Context, Effect, Event, PeerAnswer, Request, StoreAnswer, StoreCall,
 };
 use stairstage::protocol::job::JobState;
-use stairstage::protocol::store::{Page, Transaction};
+use stairstage::protocol::store::Transaction;
 use stairstage::settings::Settings;
 use stairstage_upgrade::fence::Clearance;
 use std::collections::{BTreeMap, VecDeque};
@@ -186,7 +186,11 @@
                         world.wait(key, Waiting::Store(call));
                     });
                 }
-                polls::Effect::Ended(id, state) => self.ended(node, job_of(&id).unwrap(), state),
+                polls::Effect::Ended(ends) => {
+                    for (id, state) in ends {
+                        self.ended(node, job_of(&id).unwrap(), state);
+                    }
+                }
                 polls::Effect::Answer(number, answer) => {
                     let (_, origin) = self.nodes[node].polls.remove(&number).unwrap();
                     self.answer(origin, answer);
@@ -324,7 +328,7 @@
             }
             StoreCall::List { under, after, .. } => {
                 let answered = fate == Fate::Answered && !refused;
-                let page = answered.then(|| self.page(&under, &after));
+                let page = answered.then(|| self.store.page(&under, &after, PAGE));
                 StoreAnswer::Listed(page.ok_or(Unavailable))
             }
             StoreCall::Commit(_) if refused => {
@@ -337,18 +341,6 @@
         }
     }
 
-    fn page(&self, under: &str, after: &str) -> Page {
-        let mut items = self.store.under(under);
-        items.retain(|item| item.key.as_str() > after);
-        let more = items.len() > PAGE;
-        items.truncate(PAGE);
-        Page {
-            items,
-            more,
-            revision: self.store.revision,
-        }
-    }
-
     pub fn commit(
         &mut self,
         by: u64,
