--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -71,6 +71,7 @@
     endpoint: Mutex<String>,
     session: Mutex<Session>,
     gone: Mutex<bool>,
+    hung: Mutex<bool>,
 }
 
 struct Listed {
@@ -103,6 +104,8 @@
     nodes: Mutex<Vec<(String, String)>>,
     /// Every task that holds its image and has not exited, with its machine.
     pub on_machine: Mutex<BTreeMap<String, Vec<String>>>,
+    pub done: Mutex<std::collections::BTreeSet<String>>,
+    pub on_start: Mutex<Option<Box<dyn Fn(&str, &str, &[String]) + Send>>>,
 }
 
 impl Fleet {
@@ -123,6 +126,8 @@
             jobs: Mutex::default(),
             nodes: Mutex::default(),
             on_machine: Mutex::default(),
+            done: Mutex::default(),
+            on_start: Mutex::new(None),
         });
         let cloud = fleet.clone();
         let address = serve(move |request| Fleet::handle(&cloud, request));
@@ -144,6 +149,24 @@
         self.jobs.lock().unwrap().insert(job.to_string(), described);
     }
 
+    /// Lets a machine hang, or go on.
+    pub fn hang(&self, index: usize, hung: bool) {
+        let machines = self.machines.lock().unwrap();
+        let workers: Vec<_> = machines.values().filter_map(|m| m.worker.clone()).collect();
+        if let Some(w) = workers.get(index % workers.len().max(1)) {
+            *w.hung.lock().unwrap() = hung;
+            self.record.note(&format!("{} hangs: {hung}", w.name));
+        }
+    }
+
+    /// Takes a machine away without notice.
+    pub fn take_away(&self, index: usize) {
+        let names: Vec<String> = self.machines.lock().unwrap().keys().cloned().collect();
+        if let Some(name) = names.get(index % names.len().max(1)) {
+            self.remove(name);
+        }
+    }
+
     fn take_list(&self) {
         let now = Instant::now();
         let machines = self.machines.lock().unwrap();
@@ -301,16 +324,19 @@
 
     fn started(&self, leg: &str, machine: &str) {
         self.record.note(&format!("start {leg} on {machine}"));
-        self.on_machine
-            .lock()
-            .unwrap()
-            .entry(leg.to_string())
-            .or_default()
-            .push(machine.to_string());
+        let mut on = self.on_machine.lock().unwrap();
+        let list = on.entry(leg.to_string()).or_default();
+        if let Some(check) = &*self.on_start.lock().unwrap() {
+            check(leg, machine, list);
+        }
+        list.push(machine.to_string());
     }
 
     fn ended(&self, leg: &str, machine: &str, why: &str) {
         self.record.note(&format!("end {leg} on {machine}: {why}"));
+        if why == "done" {
+            self.done.lock().unwrap().insert(leg.to_string());
+        }
         let mut on_machine = self.on_machine.lock().unwrap();
         if let Some(machines) = on_machine.get_mut(leg) {
             if let Some(position) = machines.iter().position(|m| m == machine) {
@@ -345,6 +371,7 @@
             endpoint: Mutex::default(),
             session: Mutex::new(session),
             gone: Mutex::new(false),
+            hung: Mutex::new(false),
         });
         let commanded = worker.clone();
         let address = serve(move |request| commanded.handle(request));
@@ -354,7 +381,9 @@
         let running = worker.clone();
         std::thread::spawn(move || {
             while !running.is_gone() {
-                running.advance();
+                if !*running.hung.lock().unwrap() {
+                    running.advance();
+                }
                 std::thread::sleep(Duration::from_millis(10));
             }
         });
@@ -446,6 +475,9 @@
     }
 
     fn handle(&self, request: &Request) -> Reply {
+        while *self.hung.lock().unwrap() && !self.is_gone() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
         if self.is_gone() {
             return Reply::Nothing;
         }
@@ -548,6 +580,9 @@
         let mut interval = Duration::from_secs_f64(self.fleet.timing.report_s);
         while !self.is_gone() {
             std::thread::sleep(Duration::from_millis(10));
+            if *self.hung.lock().unwrap() {
+                continue;
+            }
             let now = Instant::now();
             let has_changed = self.session.lock().unwrap().has_changed;
             let since = now.duration_since(last_at);
