--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -46,6 +46,7 @@
             mem_gb: 32.0,
             zones: &["ebene", "rose-belle"],
             capacity: 10,
+            startup_s: 20.0,
             boot_s: 2.0,
         }],
     }
@@ -105,6 +106,7 @@
         "many-inputs" => many_inputs(trouble, record),
         "large-jobs" => large_jobs(trouble, record),
         "many-dependents" => many_dependents(trouble, record),
+        "old-reports" => old_reports(trouble, record),
         _ => Verdict::CouldNotRun,
     }
 }
@@ -185,6 +187,7 @@
         mem_gb: 64.0,
         zones: &["batumi-port"],
         capacity: 14,
+        startup_s: 20.0,
         boot_s: 2.0,
     }];
     site
@@ -355,6 +358,7 @@
         mem_gb: 128.0,
         zones: &["batumi-port"],
         capacity: 1,
+        startup_s: 20.0,
         boot_s: 20.0,
     });
     let cluster = Arc::new(Cluster::start(site, record));
@@ -430,3 +434,131 @@
         Verdict::CouldNotRun
     }
 }
+
+/// Copies of old reports reach a new leader. Before that, all controllers were away for longer than a lease;
+/// the former leader ends while two machines with long tasks can't be reached.
+fn old_reports(trouble: bool, record: Record) -> Verdict {
+    let mut site = batumi();
+    site.types[0].startup_s = 50.0;
+    let cluster = Cluster::start(site, record);
+    if !cluster.wait_until_ready(20.0) {
+        return Verdict::CouldNotRun;
+    }
+    let count = cluster.fronts.len();
+    let twice = Arc::new(Mutex::new(0));
+    {
+        let (twice, record) = (twice.clone(), cluster.record.clone());
+        let check = move |leg: &str, machine: &str, others: &[String]| {
+            if !others.is_empty() {
+                record.note(&format!(
+                    "RAN TWICE: {leg} starts on {machine} while it is on {others:?}"
+                ));
+                *twice.lock().unwrap() += 1;
+            }
+        };
+        *cluster.fleet.on_start.lock().unwrap() = Some(Box::new(check));
+    }
+    // A task takes a machine of its own.
+    let accept = |id: &str, legs: u64, run_s: f64| -> bool {
+        let described = Described {
+            cpus: 5.0,
+            mem_gb: 1.0,
+            run_s: Some(run_s),
+            fetch_s: 0.2,
+        };
+        cluster.fleet.describe(id, described);
+        submit(&cluster, 0, &array(id, legs, 5.0, run_s, &[]))
+            .is_some_and(|a| matches!(a.status, 200 | 201))
+    };
+    let (long, first_short, second_short) = ("req-000001", "req-000002", "req-000003");
+    if !accept(long, 6, 300.0) || !accept(first_short, 4, 3.0) {
+        return Verdict::CouldNotRun;
+    }
+    let running = |job: &str| -> usize {
+        let on_machine = cluster.fleet.on_machine.lock().unwrap();
+        let of_job = on_machine
+            .iter()
+            .filter(|(leg, machines)| leg.starts_with(job) && !machines.is_empty());
+        of_job.count()
+    };
+    let done = |job: &str| {
+        cluster
+            .fleet
+            .done
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|leg| leg.starts_with(job))
+            .count()
+    };
+    let wait_until = |seconds: f64, what: &dyn Fn() -> bool| -> bool {
+        let started_at = Instant::now();
+        while started_at.elapsed().as_secs_f64() < seconds {
+            if what() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    };
+    if !wait_until(20.0, &|| running(long) == 6 && done(first_short) == 4) {
+        return Verdict::CouldNotRun;
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    // All controllers are away until every worker's lease has expired.
+    if trouble {
+        (0..count).for_each(|i| cluster.kill_controller(i));
+        if !wait_until(45.0, &|| {
+            cluster.fleet.watches().iter().all(|watch| *watch == 2)
+        }) {
+            return Verdict::CouldNotRun;
+        }
+        (0..count).for_each(|i| cluster.start_controller(i));
+    }
+    if !wait_until(20.0, &|| running(long) == 6) || !accept(second_short, 4, 3.0) {
+        return Verdict::CouldNotRun;
+    }
+    if !wait_until(20.0, &|| done(second_short) == 4) {
+        return Verdict::CouldNotRun;
+    }
+    // The leader ends, while two machines with long tasks can't be reached.
+    let (leader, helm) = (cluster.leader(), cluster.fleet.highest_helm());
+    let Some(leader) = leader else {
+        return Verdict::CouldNotRun;
+    };
+    if !trouble {
+        std::thread::sleep(Duration::from_secs(10));
+        return if *twice.lock().unwrap() > 0 {
+            Verdict::Broken
+        } else {
+            Verdict::Held
+        };
+    }
+    let cut = cluster.fleet.cut(long, 2, true);
+    cluster.record.note(&format!("{cut:?} lose the network"));
+    cluster.kill_controller(leader);
+    let acts = wait_until(15.0, &|| cluster.fleet.highest_helm() > helm);
+    // For comparison, with COPIES=0 the same happens without the copies.
+    let copies = std::env::var("COPIES").map_or(true, |value| value != "0");
+    if acts && copies {
+        // A new leader has acted, and copies of old reports of these machines arrive there.
+        std::thread::sleep(Duration::from_millis(500));
+        let next = cluster.leader().unwrap_or(0);
+        cluster.fleet.send_old_reports(&cut, &cluster.fronts[next]);
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    cluster.start_controller(leader);
+    std::thread::sleep(Duration::from_secs(2));
+    cluster.fleet.cut(long, usize::MAX, false);
+    cluster.record.note("all machines have the network again");
+    std::thread::sleep(Duration::from_secs(3));
+    let twice = *twice.lock().unwrap();
+    cluster.record.note(&format!("{twice} tasks ran twice"));
+    if !acts {
+        Verdict::CouldNotRun
+    } else if twice > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
