--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -5,6 +5,7 @@
 use crate::json::Json;
 use crate::record::Record;
 use crate::state::{Limits, State};
+use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -29,6 +30,25 @@
     pub types: Vec<MachineType>,
 }
 
+/// The processes that run now, so that they can be ended when a case takes too long.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// Ends the program with code 2, and all controllers, if the case is not over after this time.
+pub fn end_after(seconds: u64) {
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_secs(seconds));
+        // The lock is kept, so that no controller is started any more.
+        let running = RUNNING.lock().unwrap();
+        for pid in running.iter() {
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(pid.to_string())
+                .status();
+        }
+        std::process::exit(2);
+    });
+}
+
 pub struct Cluster {
     pub site: Site,
     pub state: Arc<State>,
@@ -150,6 +170,7 @@
     pub fn start_controller(&self, i: usize) {
         let command = run_command();
         let log = std::fs::File::create(self.folder.join(format!("{i}.log"))).expect("a log");
+        let mut running = RUNNING.lock().unwrap();
         let child = Command::new(&command[0])
             .args(&command[1..])
             .arg(self.folder.join(format!("{i}.toml")))
@@ -164,13 +185,16 @@
             .expect("the program of the deploy file starts");
         self.record
             .note(&format!("controller {} starts", self.site.names[i]));
+        running.insert(child.id());
         self.processes.lock().unwrap()[i] = Some(child);
     }
 
     pub fn kill_controller(&self, i: usize) {
-        if let Some(mut child) = self.processes.lock().unwrap()[i].take() {
+        let child = self.processes.lock().unwrap()[i].take();
+        if let Some(mut child) = child {
             let _ = child.kill();
             let _ = child.wait();
+            RUNNING.lock().unwrap().remove(&child.id());
             self.record
                 .note(&format!("controller {} is killed", self.site.names[i]));
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -19,6 +19,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(&Path::new(folder).join("record.txt"));
+    cluster::end_after(118);
     let verdict = cases::run(case, trouble, record);
     println!("{verdict:?}");
     std::process::exit(match verdict {
