A later incarnation proves nothing of tasks whose incarnation is unknown

Cause: a leader took the first heartbeat of a later incarnation as proof that every task recorded on the machine was gone. To a new leader, the first heartbeat that arrives may be older than a task that its predecessor launched; the next one then seems to begin an incarnation in which the task was in fact launched.

Change: such a heartbeat releases only tasks whose incarnation is known: those that this leader launched or that a heartbeat has listed. A recorded task that no heartbeat has listed is released by a heartbeat with a token of this term, by the lease's end by the leader's clock or by the machine's return, as its launch cannot follow any of these.

--- a/src/coordination/cluster/allocations.rs
+++ b/src/coordination/cluster/allocations.rs
@@ -3,8 +3,9 @@
 //! `ClusterState::add_allocation` and `ClusterState::release_allocation` are the only ways to add and
 //! release allocations. They keep the job, the machine, the quota and the placement record consistent.
 //! An allocation is released only on proof that its task is gone and that no launch of it may still
-//! arrive: a newer heartbeat, a new incarnation, a lease that has expired by the leader's clock, or the
-//! cloud's confirmation that the machine is gone. See `reconciliation` and `leases`.
+//! arrive: a newer heartbeat, the end of the incarnation in which it was launched, a lease that has expired
+//! by the leader's clock, or the cloud's confirmation that the machine is gone. See `reconciliation` and
+//! `leases`.
 
 use super::ClusterState;
 use crate::coordination::state::{
--- a/src/coordination/cluster/heartbeats.rs
+++ b/src/coordination/cluster/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Heartbeats of workers, and the responses to them.
 
+use super::reconciliation::IncarnationEnd;
 use super::writes::completions::is_completion_unrecorded;
 use super::{ClusterState, HeartbeatOutcome, MAX_COMMANDS};
 use crate::coordination::state::{AllocationId, JobId, Machine, MachineName, MachinePhase};
@@ -75,7 +76,7 @@
         let is_unsolicited = source != HeartbeatSource::CommandResponse;
         let is_new_incarnation = self.update_machine(&name, heartbeat, is_unsolicited, now);
         if is_new_incarnation {
-            self.end_incarnation(&name, now);
+            self.end_incarnation(&name, IncarnationEnd::LaterHeartbeat, now);
         }
         self.reconcile(&name, heartbeat, now);
         if let Some(machine) = self.machines.get_mut(&name) {
--- a/src/coordination/cluster/leases.rs
+++ b/src/coordination/cluster/leases.rs
@@ -1,5 +1,6 @@
 //! Workers' leases: a worker whose lease has expired by the leader's clock has killed all its tasks.
 
+use super::reconciliation::IncarnationEnd;
 use super::{ClusterState, CLOCK_DRIFT, WORKER_RETRY_S};
 use crate::coordination::state::{AllocationState, Machine, MachineName, MachinePhase};
 use crate::coordination::Time;
@@ -38,7 +39,7 @@
         let expired: Vec<MachineName> = expired.map(|machine| machine.name.clone()).collect();
         for name in expired {
             warn!(machine = %name, "worker's lease expired without a heartbeat");
-            self.end_incarnation(&name, now);
+            self.end_incarnation(&name, IncarnationEnd::LeaseExpired, now);
             if let Some(machine) = self.machines.get_mut(&name) {
                 machine.worker.expire();
             }
--- a/src/coordination/cluster/reconciliation.rs
+++ b/src/coordination/cluster/reconciliation.rs
@@ -10,7 +10,7 @@
 use crate::protocol::worker::{Cause, Heartbeat, TaskState, TaskStatus};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 /// An allocation whose task is gone.
 struct LostAllocation {
@@ -18,6 +18,27 @@
     has_run: bool,
 }
 
+/// What shows that an incarnation of a worker has ended, and its tasks with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum IncarnationEnd {
+    /// A heartbeat of a later incarnation than any before.
+    LaterHeartbeat,
+    /// The worker's lease has expired by the leader's clock, whichever its incarnation was.
+    LeaseExpired,
+}
+
+impl IncarnationEnd {
+    /// Whether this also proves that the task of an allocation has ended. A task that an earlier leader
+    /// launched, and that no heartbeat has listed yet, may belong to any incarnation: the heartbeats of
+    /// both incarnations may be older than its launch.
+    fn covers(self, allocation: &Allocation) -> bool {
+        match self {
+            IncarnationEnd::LaterHeartbeat => !allocation.has_unknown_incarnation(),
+            IncarnationEnd::LeaseExpired => true,
+        }
+    }
+}
+
 /// A task that has exited, with the state of its allocation before the exit.
 struct ExitedTask<'a> {
     id: &'a AllocationId,
@@ -255,7 +276,7 @@
                 AllocationState::Pending | AllocationState::Exited(_) => false,
                 // Launched by an earlier leader: that launch cannot arrive once the worker has seen a
                 // token of this term.
-                AllocationState::Launching if allocation.is_recovered => is_fenced,
+                AllocationState::Launching if allocation.has_unknown_incarnation() => is_fenced,
                 AllocationState::Launching => {
                     launches_are_over && is_unwanted(jobs, id, allocation)
                 }
@@ -278,17 +299,27 @@
         }
     }
 
-    /// Releases the allocations on a machine whose worker's incarnation has ended.
-    pub(super) fn end_incarnation(&mut self, name: &MachineName, now: Time) {
+    /// Releases the allocations on a machine whose tasks are proven to have ended with an incarnation of
+    /// its worker.
+    pub(super) fn end_incarnation(
+        &mut self,
+        name: &MachineName,
+        evidence: IncarnationEnd,
+        now: Time,
+    ) {
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        let mut lost = Vec::new();
+        let (mut lost, mut unproven) = (Vec::new(), 0);
         machine.retain_allocations(|id, allocation| {
             // A launch that was not sent can still be sent to the next incarnation.
             if allocation.state == AllocationState::Pending {
                 return true;
             }
+            if !evidence.covers(allocation) {
+                unproven += 1;
+                return true;
+            }
             if allocation.is_live() {
                 lost.push(LostAllocation {
                     id: id.clone(),
@@ -300,6 +331,9 @@
         if !lost.is_empty() {
             warn!(machine = %name, tasks = lost.len(), "incarnation ended, its tasks are lost");
         }
+        if unproven > 0 {
+            info!(machine = %name, tasks = unproven, "incarnation ended, tasks of an earlier leader may still run");
+        }
         for LostAllocation { id, has_run } in lost {
             self.release_allocation(&id, name, has_run, now);
             self.task_lost(&id.job, now);
--- a/src/coordination/state/allocation.rs
+++ b/src/coordination/state/allocation.rs
@@ -97,7 +97,7 @@
     pub planned_at: Time,
     /// When a heartbeat first listed the task as running.
     pub running_since: Option<Time>,
-    /// Whether an earlier leader may have launched the task.
+    /// Whether an earlier leader may have launched the task, and no heartbeat has listed it since.
     pub is_recovered: bool,
     /// The fencing token with which a launch was sent directly to the worker: a delayed launch may
     /// still arrive until the worker has seen a higher token.
@@ -134,6 +134,12 @@
         !matches!(self.state, AllocationState::Exited(_))
     }
 
+    /// Whether the worker's incarnation in which the task was launched is unknown: an earlier leader may
+    /// have launched it, and no heartbeat has listed it since.
+    pub fn has_unknown_incarnation(&self) -> bool {
+        self.is_recovered && self.state == AllocationState::Launching
+    }
+
     /// Whether the task is known to have run.
     pub fn has_run(&self) -> bool {
         self.running_since.is_some()
--- a/tests/histories/combinations/messages.rs
+++ b/tests/histories/combinations/messages.rs
@@ -1,6 +1,7 @@
 //! Delayed, duplicate and reordered heartbeats, responses and commands.
 
 use super::SEEDS;
+use crate::job::JobShape;
 use crate::network::{DelayRange, Faults};
 use crate::timed::for_each_seed;
 
@@ -72,6 +73,43 @@
     });
 }
 
+/// Guards against `ran_twice`: after an outage of all controllers that is longer than a lease, duplicates
+/// of heartbeats from before and after it reach a new leader, which cannot reach the machines itself.
+#[test]
+fn duplicate_heartbeats_of_two_incarnations_after_failover_preserve_safety() {
+    let faults = Faults {
+        duplicate_heartbeats: 0.5,
+        replayed_heartbeats: 0.3,
+        replay_delay: DelayRange::new(0.0, 3.0),
+        ..Faults::default()
+    };
+    let long = JobShape {
+        tasks: 4,
+        run_s: 40.0,
+        ..JobShape::default()
+    };
+    for_each_seed(SEEDS, |world| {
+        world.set_faults(faults);
+        for _ in 0..3 {
+            world.submit_shape(&long);
+            world.run_under_load(6.0);
+            world.stop_leader();
+            let outage_s = world.between(12.5, 16.0);
+            world.run_under_load(outage_s);
+            world.replace_leader();
+            let until_failover_s = world.between(3.0, 8.0);
+            world.run_under_load(until_failover_s);
+            for _ in 0..3 {
+                let i = world.random_worker();
+                world.workers[i].partitioned = true;
+            }
+            world.change_leader(0.5);
+            world.run_under_load(7.0);
+            world.reconnect_all();
+        }
+    });
+}
+
 #[test]
 fn commands_executed_after_timeout_preserve_safety() {
     let faults = Faults {
