Jobs with many dependencies: repeated submissions, polls and checks are answered

Cause: each request decided about all dependencies at once, and kept nothing for its retry; the search gave up with the error that means an unavailable state service.

Change: a repeated submission of an open job with dependencies continues as a query. The poll batcher reads and compares many dependencies in the background, within the polls' share of requests, and keeps what it finds; a dependency found unfinished counts as such for half of cancel_s. Submissions with more than 24 dependencies are checked there too. A page evicts nothing from the cache for records that nobody asked for.

--- a/src/coordination/requests/acceptance.rs
+++ b/src/coordination/requests/acceptance.rs
@@ -1,10 +1,9 @@
 //! Accepting a job by writing its first record.
 
 use super::context::MAX_ATTEMPTS;
-use super::job_lookup::JobLookup;
+use super::job_lookup::{JobLookup, RecordedState};
 use super::step::{has_version_changed, Step, StepError, StepResult};
 use super::store_call::{StoreAnswer, StoreCall};
-use crate::protocol::job::JobStatus;
 use crate::protocol::store::Transaction;
 use crate::storage::key_value_store::CommitOutcome;
 use crate::storage::records::{final_state_key, open_key};
@@ -29,8 +28,8 @@
         version: u64,
     },
     /// The job was accepted before, possibly by an earlier attempt of this request whose response was
-    /// lost. Holds the job's status, or `None` if its record can't be read yet.
-    Duplicate(Option<JobStatus>),
+    /// lost. Holds what its records say; a record that was just written may not be readable yet.
+    Duplicate(RecordedState),
 }
 
 impl Acceptance {
--- a/src/coordination/requests/cancellation.rs
+++ b/src/coordination/requests/cancellation.rs
@@ -1,12 +1,11 @@
 //! Cancellations. One transaction writes the final state record of an open job and marks its open
 //! record as cancelled. The open record is kept until the leader has released the job's allocations.
 
-use super::answers::Answer;
+use super::answers::{status_without_counts, Answer};
 use super::context::{Context, MAX_ATTEMPTS};
-use super::job_lookup::JobLookup;
+use super::job_lookup::{JobLookup, RecordedState};
 use super::step::{has_version_changed, Step, StepError, StepResult};
 use super::store_call::{StoreAnswer, StoreCall, VersionedRecord};
-use crate::protocol::job::{JobState, JobStatus};
 use crate::protocol::store::Transaction;
 use crate::storage::key_value_store::CommitOutcome;
 use crate::storage::records::{final_state_key, open_key, FinalStateRecord, OpenRecord};
@@ -71,13 +70,16 @@
         }
     }
 
-    fn on_lookup_step(&mut self, step: Step<Option<JobStatus>>) -> StepResult<Answer> {
+    fn on_lookup_step(&mut self, step: Step<RecordedState>) -> StepResult<Answer> {
         match step {
             Step::Call(call) => Ok(Step::Call(call)),
-            Step::Finished(None) => Ok(Step::Finished(Answer::NotFound)),
+            Step::Finished(RecordedState::NeverAccepted) => Ok(Step::Finished(Answer::NotFound)),
             // The job was accepted between the first read of its open record and the lookup.
-            Step::Finished(Some(status)) if status.state == JobState::Pending => self.retry(),
-            Step::Finished(Some(status)) => Ok(Step::Finished(Answer::Known(status))),
+            Step::Finished(RecordedState::Open { .. }) => self.retry(),
+            Step::Finished(RecordedState::Finished(state)) => {
+                let status = status_without_counts(&self.job, state);
+                Ok(Step::Finished(Answer::Known(status)))
+            }
         }
     }
 
--- a/src/coordination/requests/dependency_check.rs
+++ b/src/coordination/requests/dependency_check.rs
@@ -1,13 +1,12 @@
 //! Checks the dependencies of a submitted job.
 
-use super::dependency_search::is_cancelled;
-use super::job_lookup::JobLookup;
+use super::job_lookup::{JobLookup, RecordedState};
 use super::step::{Step, StepError, StepResult};
 use super::store_call::{StoreAnswer, StoreCall};
-use crate::protocol::job::JobSpec;
+use crate::protocol::job::{JobSpec, JobState};
 use crate::protocol::store::Transaction;
-use crate::storage::key_value_store::CommitOutcome;
-use crate::storage::records::{final_state_key, open_key};
+use crate::storage::key_value_store::{CommitOutcome, Unavailable};
+use crate::storage::records::{final_state_key, open_key, FinalStateRecord};
 use std::collections::VecDeque;
 
 /// Checks that all dependencies of a submission were accepted. One transaction compares the records of
@@ -47,6 +46,13 @@
     Cancelled,
 }
 
+impl DependencyStatus {
+    /// The status of a submission that names a job which was never accepted.
+    pub(super) fn never_accepted(job: &str) -> DependencyStatus {
+        DependencyStatus::Invalid(format!("waits_on: job {job} was never accepted"))
+    }
+}
+
 impl DependencyCheck {
     /// Starts the check of a job. A transaction has at most `max_compares` compares.
     pub(super) fn begin(
@@ -78,11 +84,10 @@
             State::ReadingFinal => self.has_cancelled |= is_cancelled(answer)?,
             State::LookingUp { job, lookup } => match lookup.on_answer(answer)? {
                 Step::Call(call) => return Ok(Step::Call(call)),
-                Step::Finished(None) => {
-                    let reason = format!("waits_on: job {job} was never accepted");
-                    return Ok(Step::Finished(DependencyStatus::Invalid(reason)));
+                Step::Finished(RecordedState::NeverAccepted) => {
+                    return Ok(Step::Finished(DependencyStatus::never_accepted(job)));
                 }
-                Step::Finished(Some(_)) => {}
+                Step::Finished(RecordedState::Open { .. } | RecordedState::Finished(_)) => {}
             },
         }
         Ok(self.evaluate_next())
@@ -126,6 +131,16 @@
     }
 }
 
+/// Whether the final state record that was read is that of a cancelled job.
+///
+/// # Errors
+///
+/// [`Unavailable`] if the record could not be read.
+fn is_cancelled(answer: StoreAnswer) -> Result<bool, Unavailable> {
+    let found = answer.decode::<FinalStateRecord>()?;
+    Ok(found.is_some_and(|found| found.record.state == JobState::Cancelled))
+}
+
 /// The keys that a comparison found present.
 fn present_keys(outcome: CommitOutcome) -> Result<Vec<String>, StepError> {
     match outcome {
--- a/src/coordination/requests/events.rs
+++ b/src/coordination/requests/events.rs
@@ -1,7 +1,7 @@
 //! The inputs and outputs of a [`Request`](super::Request).
 
 use super::answers::{Answer, PeerAnswer};
-use super::polls::Poll;
+use super::polls::{CheckedDependencies, Poll};
 use super::store_call::{StoreAnswer, StoreCall};
 use crate::protocol::job::{JobState, JobStatus};
 use crate::storage::records::OpenRecord;
@@ -26,6 +26,8 @@
     Store(StoreAnswer),
     /// The response to [`RequestEffect::Forward`]; `None` if there was no response.
     Peer(Option<PeerAnswer>),
+    /// The result of [`RequestEffect::CheckDependencies`].
+    DependenciesChecked(CheckedDependencies),
 }
 
 /// An output: an action for the driver.
@@ -35,6 +37,9 @@
     ReadLocalView,
     /// Call the state service; answered by [`RequestEvent::Store`].
     Store(StoreCall),
+    /// Let the [`PollBatcher`](super::polls::PollBatcher) check these dependencies; answered by
+    /// [`RequestEvent::DependenciesChecked`].
+    CheckDependencies(Vec<String>),
     /// Forward the request to this peer; answered by [`RequestEvent::Peer`].
     Forward(String),
     /// This request has accepted a job.
--- a/src/coordination/requests/job_lookup.rs
+++ b/src/coordination/requests/job_lookup.rs
@@ -1,14 +1,12 @@
-//! Reads the state of one job from its records in the state service.
+//! Reads from its records whether a job was accepted and whether it is finished.
 
-use super::answers::status_without_counts;
-use super::dependency_search::DependencySearch;
-use super::step::{Step, StepError, StepResult};
+use super::step::{Step, StepResult};
 use super::store_call::{StoreAnswer, StoreCall};
-use crate::protocol::job::{JobState, JobStatus};
+use crate::protocol::job::JobState;
 use crate::storage::records::{final_state_key, open_key, FinalStateRecord, OpenRecord};
 
-/// Reads a job's state. The result is `None` if the job was never accepted. The open record is read
-/// first: it is deleted by the transaction that writes the final state record, or later.
+/// Looks up a job. The open record is read first: it is deleted by the transaction that writes the final
+/// state record, or later.
 pub(super) struct JobLookup {
     job: String,
     state: State,
@@ -16,11 +14,23 @@
 
 enum State {
     ReadingOpen,
-    /// The final state record of the job may be written later than that of a cancelled dependency.
-    SearchingDependencies(DependencySearch),
     ReadingFinal,
 }
 
+/// What the records say about a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RecordedState {
+    /// The job was never accepted.
+    NeverAccepted,
+    /// The job is not finished. With dependencies it may still have to be cancelled, if one of them is.
+    Open {
+        /// Whether the job has dependencies.
+        has_dependencies: bool,
+    },
+    /// The job is finished, in this state.
+    Finished(JobState),
+}
+
 impl JobLookup {
     /// Starts the lookup of a job.
     pub(super) fn begin(job: &str) -> (JobLookup, StoreCall) {
@@ -31,47 +41,30 @@
         (lookup, StoreCall::Read(open_key(job)))
     }
 
-    pub(super) fn on_answer(&mut self, answer: StoreAnswer) -> StepResult<Option<JobStatus>> {
-        match &mut self.state {
+    pub(super) fn on_answer(&mut self, answer: StoreAnswer) -> StepResult<RecordedState> {
+        match self.state {
             State::ReadingOpen => self.on_open_record(answer),
-            State::SearchingDependencies(search) => {
-                let step = search.on_answer(answer)?;
-                self.on_search_step(step)
-            }
             State::ReadingFinal => {
                 let found = answer.decode::<FinalStateRecord>()?;
-                let status = found.map(|f| status_without_counts(&self.job, f.record.state));
-                Ok(Step::Finished(status))
-            }
-        }
-    }
-
-    fn on_open_record(&mut self, answer: StoreAnswer) -> StepResult<Option<JobStatus>> {
-        match answer.decode::<OpenRecord>()? {
-            Some(found) if found.record.cancelled => Ok(self.found(JobState::Cancelled)),
-            Some(found) => {
-                let (search, step) = DependencySearch::begin(found.record.spec.waits_on)?;
-                self.state = State::SearchingDependencies(search);
-                self.on_search_step(step)
-            }
-            None => {
-                self.state = State::ReadingFinal;
-                Ok(Step::Call(StoreCall::Read(final_state_key(&self.job))))
+                Ok(Step::Finished(
+                    found.map_or(RecordedState::NeverAccepted, |found| {
+                        RecordedState::Finished(found.record.state)
+                    }),
+                ))
             }
         }
     }
 
-    /// A job with a cancelled dependency will be cancelled by the leader. Until that is recorded, its
-    /// state can't be reported.
-    fn on_search_step(&self, step: Step<bool>) -> StepResult<Option<JobStatus>> {
-        match step {
-            Step::Call(call) => Ok(Step::Call(call)),
-            Step::Finished(true) => Err(StepError::Unavailable),
-            Step::Finished(false) => Ok(self.found(JobState::Pending)),
-        }
-    }
-
-    fn found(&self, state: JobState) -> Step<Option<JobStatus>> {
-        Step::Finished(Some(status_without_counts(&self.job, state)))
+    fn on_open_record(&mut self, answer: StoreAnswer) -> StepResult<RecordedState> {
+        let Some(found) = answer.decode::<OpenRecord>()? else {
+            self.state = State::ReadingFinal;
+            return Ok(Step::Call(StoreCall::Read(final_state_key(&self.job))));
+        };
+        Ok(Step::Finished(if found.record.cancelled {
+            RecordedState::Finished(JobState::Cancelled)
+        } else {
+            let has_dependencies = !found.record.spec.waits_on.is_empty();
+            RecordedState::Open { has_dependencies }
+        }))
     }
 }
--- a/src/coordination/requests/mod.rs
+++ b/src/coordination/requests/mod.rs
@@ -17,8 +17,8 @@
 //! The layers, each using only those before it:
 //!
 //! - `answers`, `store_call`, `step`, `context` and `decision`: shared types;
-//! - `dependency_search`, `job_lookup`, `dependency_check` and `acceptance`: steps of a request that
-//!   make several calls to the state service;
+//! - `job_lookup`, `dependency_check` and `acceptance`: steps of a request that make several calls to the
+//!   state service;
 //! - `admission`, `submission` and `cancellation`: requests that write to the state service;
 //! - [`polls`]: batched queries;
 //! - `events` and `request`: the state machine of a request.
@@ -30,7 +30,6 @@
 mod context;
 mod decision;
 mod dependency_check;
-mod dependency_search;
 mod events;
 mod job_lookup;
 pub mod polls;
--- a/src/coordination/requests/polls/batcher/mod.rs
+++ b/src/coordination/requests/polls/batcher/mod.rs
@@ -2,14 +2,18 @@
 
 mod read_results;
 
-use super::comparison::{ComparedPoll, Comparison, DecisionPlan, PollResult};
+use super::comparison::{
+    AbandonedComparison, ComparedPoll, Comparison, ComparisonResults, DecisionPlan, PollResult,
+};
+use super::dependency_checks::DependencyChecks;
+use super::dependency_scan::DependencyScan;
 use super::known_jobs::KnownJobs;
 use super::limits::{Limits, COMPARISONS_SHARE, POLL_TIMEOUT_S};
 use super::poll_queue::PollQueue;
 use super::read_queue::{NextRead, ReadCall, ReadQueue};
 use super::record_keys::RecordKey;
 use super::retry_schedule::RetrySchedule;
-use super::types::{PendingPoll, Poll, PollEffect, PollId};
+use super::types::{CheckId, PendingPoll, Poll, PollEffect, PollId};
 use crate::coordination::requests::answers::{status_without_counts, Answer};
 use crate::coordination::requests::store_call::{StoreAnswer, StoreCall};
 use crate::coordination::Time;
@@ -37,6 +41,8 @@
     queue: PollQueue,
     reads: ReadQueue,
     known_jobs: KnownJobs,
+    dependencies: DependencyScan,
+    checks: DependencyChecks,
     in_flight: Option<InFlightCall>,
     last_comparison_at: Time,
     /// Whether the last call was a comparison: reads and comparisons alternate.
@@ -62,7 +68,9 @@
             rate_limit: TokenBucket::new(steady_per_s, burst),
             queue: PollQueue::new(retries),
             reads: ReadQueue::new(limits.max_jobs),
-            known_jobs: KnownJobs::new(limits.max_jobs),
+            known_jobs: KnownJobs::new(limits.max_jobs, limits.confirmation_s),
+            dependencies: DependencyScan::new(limits.max_jobs),
+            checks: DependencyChecks::new(limits.max_jobs),
             in_flight: None,
             last_comparison_at: Time::NEG_INFINITY,
             was_comparison_last: false,
@@ -97,9 +105,30 @@
         Vec::new()
     }
 
+    /// Adds a check of the dependencies that a submission names. If all are known, it is finished at once.
+    pub fn check_dependencies(
+        &mut self,
+        id: CheckId,
+        jobs: Vec<String>,
+        now: Time,
+    ) -> Vec<PollEffect> {
+        match self.checks.add(id, jobs, &self.known_jobs, now) {
+            Ok(result) => vec![PollEffect::DependenciesChecked(id, result)],
+            Err(unread) => {
+                for job in &unread {
+                    self.reads.push(&RecordKey::open(job));
+                }
+                Vec::new()
+            }
+        }
+    }
+
     /// Seconds until the next call of [`PollBatcher::tick`], or `None` if nothing is pending.
     pub fn tick_interval_s(&self) -> Option<f64> {
-        let is_idle = self.queue.is_empty() && self.reads.is_empty();
+        let is_idle = self.checks.is_empty()
+            && self.queue.is_empty()
+            && self.reads.is_empty()
+            && !self.dependencies.has_unconfirmed();
         (!is_idle).then_some(1.0 / self.limits.requests_per_s)
     }
 
@@ -107,9 +136,14 @@
     /// answered in time.
     pub fn tick(&mut self, now: Time) -> Vec<PollEffect> {
         let mut effects = self.queue.reject_expired(now);
+        effects.extend(self.checks.end_expired(now));
         if self.in_flight.is_some() {
             return effects;
         }
+        if self.reads.is_empty() {
+            self.dependencies.reads_finished();
+            self.checks.reads_finished();
+        }
         let is_comparison_due = self.is_comparison_due(now);
         let has_reads = !self.reads.is_empty();
         if (is_comparison_due || has_reads) && self.rate_limit.take(now, 1.0) {
@@ -146,8 +180,9 @@
         let batching_s = BATCHING_REQUESTS / self.limits.requests_per_s;
         let batching_s = batching_s.min(POLL_TIMEOUT_S / 2.0);
         let pending = self.queue.len_to_compare();
+        let has_pending = pending > 0 || self.dependencies.has_unconfirmed();
         let is_full = pending >= self.limits.max_compares;
-        pending > 0 && (is_full || now >= self.last_comparison_at + batching_s)
+        has_pending && (is_full || now >= self.last_comparison_at + batching_s)
     }
 
     /// The number of polls that can be compared within the timeout of a poll.
@@ -159,11 +194,15 @@
     }
 
     fn begin_comparison(&mut self, now: Time) -> Option<StoreCall> {
-        let mut comparison = Comparison::new(self.limits.max_compares);
+        let mut comparison = Comparison::new(self.limits.max_compares, now);
         let max_dependencies = self.limits.polls_per_comparison();
         for pending in self.queue.take_ordered() {
-            match DecisionPlan::of(&pending.poll, &self.known_jobs, max_dependencies) {
-                DecisionPlan::Read(key) => self.await_read(pending, key),
+            match DecisionPlan::of(&pending.poll, &self.known_jobs, max_dependencies, now) {
+                DecisionPlan::ReadDependencies(jobs) => self.await_dependencies(pending, &jobs),
+                DecisionPlan::ConfirmDependencies(jobs) => {
+                    self.dependencies.add_unconfirmed(&jobs);
+                    self.queue.push(pending);
+                }
                 DecisionPlan::Compare(keys) => {
                     if let Some(pending) = comparison.add(pending, keys) {
                         self.queue.push(pending);
@@ -171,6 +210,8 @@
                 }
             }
         }
+        let free_compares = comparison.free_compares();
+        comparison.add_dependencies(self.dependencies.take_unconfirmed(free_compares));
         let transaction = comparison.transaction()?;
         self.last_comparison_at = now;
         self.was_comparison_last = true;
@@ -189,19 +230,35 @@
             CommitOutcome::Conflict(present_keys) => present_keys,
             // Only this request exceeded the rate limit; the next one may succeed.
             CommitOutcome::RateLimited => {
-                let polls = comparison.into_polls().into_iter();
-                polls.for_each(|poll| self.queue.push(poll));
+                let AbandonedComparison {
+                    polls,
+                    dependencies,
+                } = comparison.abandon();
+                polls.into_iter().for_each(|poll| self.queue.push(poll));
+                self.dependencies.add_unconfirmed(&dependencies);
                 return Vec::new();
             }
             CommitOutcome::Rejected
             | CommitOutcome::TooLarge
             | CommitOutcome::LeaseExpired
             | CommitOutcome::Indeterminate => {
-                return self.forward_all(comparison.into_polls(), now);
+                return self.forward_all(comparison.abandon().polls, now);
             }
         };
+        let ComparisonResults {
+            polls,
+            unfinished,
+            finished,
+            sent_at,
+        } = comparison.into_results(&present_keys);
+        for job in &unfinished {
+            self.known_jobs.confirm_unfinished(job, sent_at);
+        }
+        for job in &finished {
+            self.reads.push(&RecordKey::final_state(job));
+        }
         let mut effects = Vec::new();
-        for ComparedPoll { poll, result } in comparison.into_results(&present_keys) {
+        for ComparedPoll { poll, result } in polls {
             match result {
                 PollResult::Known(status) => {
                     effects.push(self.queue.answer(&poll, Answer::Known(status)));
@@ -219,9 +276,23 @@
         self.queue.push_awaiting(poll, key);
     }
 
+    /// Reads the records of dependencies. The poll waits for one of them, and the others are read too.
+    fn await_dependencies(&mut self, poll: PendingPoll, jobs: &[String]) {
+        for job in jobs {
+            self.reads.push(&RecordKey::open(job));
+        }
+        self.dependencies.add_unread(jobs);
+        if jobs.len() > self.limits.polls_per_comparison() {
+            self.dependencies.add_unconfirmed(jobs);
+        }
+        if let Some(first) = jobs.first() {
+            self.await_read(poll, RecordKey::open(first));
+        }
+    }
+
     fn begin_read(&mut self) -> Option<StoreCall> {
         self.was_comparison_last = false;
-        let NextRead { read, store_call } = self.reads.pop()?;
+        let NextRead { read, store_call } = self.reads.pop(self.dependencies.discovered())?;
         self.in_flight = Some(InFlightCall::Read(read));
         Some(store_call)
     }
--- a/src/coordination/requests/polls/comparison.rs
+++ b/src/coordination/requests/polls/comparison.rs
@@ -4,6 +4,7 @@
 use super::record_keys::RecordKey;
 use super::types::{PendingPoll, Poll};
 use crate::coordination::requests::answers::status_without_counts;
+use crate::coordination::Time;
 use crate::protocol::job::{JobState, JobStatus};
 use crate::protocol::store::Transaction;
 use crate::storage::records::{final_state_key, open_key};
@@ -13,8 +14,10 @@
 pub(super) enum DecisionPlan {
     /// By a transaction that checks whether these keys are absent.
     Compare(ComparedKeys),
-    /// By reading this record first, as the keys to compare depend on it.
-    Read(RecordKey),
+    /// By reading the open records of these dependencies first, as the keys to compare depend on them.
+    ReadDependencies(Vec<String>),
+    /// By confirming first that these dependencies are unfinished: there are too many for one transaction.
+    ConfirmDependencies(Vec<String>),
 }
 
 /// The keys whose absence decides a poll.
@@ -22,10 +25,9 @@
     final_state: String,
     /// The key of the open record, if the job is not known to be accepted.
     open: Option<String>,
-    /// The ids of the dependencies without a known final state.
+    /// The ids of the dependencies that have to be confirmed as unfinished.
     dependencies: Vec<String>,
-    /// Whether only a final state record of the job can decide the poll: a dependency is cancelled, or
-    /// there are too many dependencies to compare.
+    /// Whether only a final state record of the job can decide the poll, as a dependency is cancelled.
     awaits_final_state: bool,
 }
 
@@ -47,8 +49,14 @@
 }
 
 impl DecisionPlan {
-    /// The plan for a poll. At most `max_dependencies` dependencies are compared.
-    pub(super) fn of(poll: &Poll, known: &KnownJobs, max_dependencies: usize) -> DecisionPlan {
+    /// The plan for a poll at `now`. At most `max_dependencies` dependencies are compared together with
+    /// the job.
+    pub(super) fn of(
+        poll: &Poll,
+        known: &KnownJobs,
+        max_dependencies: usize,
+        now: Time,
+    ) -> DecisionPlan {
         let mut keys = ComparedKeys {
             final_state: final_state_key(&poll.job),
             open: None,
@@ -59,15 +67,16 @@
         if poll.leader_status.is_some() {
             return DecisionPlan::Compare(keys);
         }
-        match known.dependencies(&poll.job, max_dependencies) {
+        match known.dependencies(&poll.job, now) {
             None => keys.open = Some(open_key(&poll.job)),
-            Some(KnownDependencies::Open(dependencies)) => keys.dependencies = dependencies,
-            Some(KnownDependencies::Unread(job)) => {
-                return DecisionPlan::Read(RecordKey::open(&job));
-            }
-            Some(KnownDependencies::Cancelled | KnownDependencies::TooMany) => {
-                keys.awaits_final_state = true;
+            Some(KnownDependencies::Open(unconfirmed)) => {
+                if unconfirmed.len() > max_dependencies {
+                    return DecisionPlan::ConfirmDependencies(unconfirmed);
+                }
+                keys.dependencies = unconfirmed;
             }
+            Some(KnownDependencies::Unread(jobs)) => return DecisionPlan::ReadDependencies(jobs),
+            Some(KnownDependencies::Cancelled) => keys.awaits_final_state = true,
         }
         DecisionPlan::Compare(keys)
     }
@@ -110,23 +119,55 @@
     keys: ComparedKeys,
 }
 
-/// Polls that are decided by one transaction.
+/// Polls that are decided by one transaction, and dependencies that it confirms as unfinished.
 pub(super) struct Comparison {
     max_compares: usize,
+    sent_at: Time,
     keys: BTreeSet<String>,
     polls: Vec<PlannedPoll>,
+    dependencies: Vec<String>,
+}
+
+/// The polls and dependencies of a comparison that was not executed.
+pub(super) struct AbandonedComparison {
+    pub(super) polls: Vec<PendingPoll>,
+    pub(super) dependencies: Vec<String>,
+}
+
+/// What a comparison found.
+pub(super) struct ComparisonResults {
+    pub(super) polls: Vec<ComparedPoll>,
+    /// Dependencies that were unfinished when the comparison was sent.
+    pub(super) unfinished: Vec<String>,
+    /// Dependencies that have a final state record.
+    pub(super) finished: Vec<String>,
+    pub(super) sent_at: Time,
 }
 
 impl Comparison {
-    /// An empty comparison of at most `max_compares` keys.
-    pub(super) fn new(max_compares: usize) -> Comparison {
+    /// An empty comparison of at most `max_compares` keys, to be sent at `now`.
+    pub(super) fn new(max_compares: usize, now: Time) -> Comparison {
         Comparison {
             max_compares,
+            sent_at: now,
             keys: BTreeSet::new(),
             polls: Vec::new(),
+            dependencies: Vec::new(),
         }
     }
 
+    /// How many more keys fit.
+    pub(super) fn free_compares(&self) -> usize {
+        self.max_compares.saturating_sub(self.keys.len())
+    }
+
+    /// Adds dependencies to confirm, for which there are free compares.
+    pub(super) fn add_dependencies(&mut self, jobs: Vec<String>) {
+        self.keys
+            .extend(jobs.iter().map(|job| final_state_key(job)));
+        self.dependencies.extend(jobs);
+    }
+
     /// Adds a poll. Returns the poll if its keys do not fit.
     pub(super) fn add(&mut self, poll: PendingPoll, keys: ComparedKeys) -> Option<PendingPoll> {
         let new = keys.iter().filter(|key| !self.keys.contains(key)).count();
@@ -142,23 +183,32 @@
     pub(super) fn transaction(&self) -> Option<Transaction> {
         let absent = |transaction: Transaction, key: &String| transaction.absent(key.clone());
         let transaction = self.keys.iter().fold(Transaction::default(), absent);
-        (!self.polls.is_empty()).then_some(transaction)
+        (!self.keys.is_empty()).then_some(transaction)
     }
 
-    /// The polls, when the transaction was not executed.
-    pub(super) fn into_polls(self) -> Vec<PendingPoll> {
-        self.polls.into_iter().map(|planned| planned.poll).collect()
+    /// The polls and dependencies, when the transaction was not executed.
+    pub(super) fn abandon(self) -> AbandonedComparison {
+        let polls = self.polls.into_iter().map(|planned| planned.poll);
+        AbandonedComparison {
+            polls: polls.collect(),
+            dependencies: self.dependencies,
+        }
     }
 
-    /// The result for each poll, given the keys that are present.
-    pub(super) fn into_results(self, present_keys: &[String]) -> Vec<ComparedPoll> {
+    /// The results, given the keys that are present.
+    pub(super) fn into_results(self, present_keys: &[String]) -> ComparisonResults {
         let present_keys: HashSet<&str> = present_keys.iter().map(String::as_str).collect();
-        let polls = self.polls.into_iter();
-        polls
-            .map(|PlannedPoll { poll, keys }| {
-                let result = keys.evaluate(&poll.poll, &present_keys);
-                ComparedPoll { poll, result }
-            })
-            .collect()
+        let is_finished = |job: &String| present_keys.contains(final_state_key(job).as_str());
+        let (finished, unfinished) = self.dependencies.into_iter().partition(is_finished);
+        let polls = self.polls.into_iter().map(|PlannedPoll { poll, keys }| {
+            let result = keys.evaluate(&poll.poll, &present_keys);
+            ComparedPoll { poll, result }
+        });
+        ComparisonResults {
+            polls: polls.collect(),
+            unfinished,
+            finished,
+            sent_at: self.sent_at,
+        }
     }
 }
--- a/src/coordination/requests/polls/mod.rs
+++ b/src/coordination/requests/polls/mod.rs
@@ -13,13 +13,16 @@
 //!
 //! - `limits` and `types`: shared definitions;
 //! - `record_keys`, `decoded_records` and `read_queue`: reading records, a page at a time;
-//! - `known_jobs` and `comparison`: deciding many polls by one transaction;
+//! - `known_jobs`, `dependency_scan` and `comparison`: deciding many polls by one transaction;
+//! - `dependency_checks`: the dependencies that submissions name;
 //! - `retry_schedule` and `poll_queue`: pending polls, their order and timeouts;
 //! - `batcher`: the state machine that a driver runs.
 
 mod batcher;
 mod comparison;
 mod decoded_records;
+mod dependency_checks;
+mod dependency_scan;
 mod known_jobs;
 mod limits;
 mod poll_queue;
@@ -30,4 +33,4 @@
 
 pub use batcher::PollBatcher;
 pub use limits::Limits;
-pub use types::{Poll, PollEffect, PollId};
+pub use types::{CheckId, CheckedDependencies, Poll, PollEffect, PollId};
--- a/src/coordination/requests/polls/read_queue.rs
+++ b/src/coordination/requests/polls/read_queue.rs
@@ -63,8 +63,9 @@
         self.scan_mut(key.kind).push(&key.job);
     }
 
-    /// Removes the next read from the queue: a page if more than one record of its kind is queued.
-    pub(super) fn pop(&mut self) -> Option<NextRead> {
+    /// Removes the next read from the queue: a page if more than one record of its kind is queued, or if
+    /// more than one open record is `expected` to be queued soon.
+    pub(super) fn pop(&mut self, expected: usize) -> Option<NextRead> {
         let has_final_states = !self.final_states.queued.is_empty();
         self.was_final_state_read_last =
             has_final_states && (self.open.queued.is_empty() || !self.was_final_state_read_last);
@@ -74,7 +75,10 @@
             RecordKind::Open
         };
         let scan = self.scan_mut(kind);
-        let queued = scan.queued.len();
+        let queued = match kind {
+            RecordKind::FinalState => scan.queued.len(),
+            RecordKind::Open => scan.queued.len().max(expected),
+        };
         let job = scan.pop()?;
         let key = RecordKey { kind, job };
         let store_key = key.store_key();
@@ -94,9 +98,10 @@
         })
     }
 
-    /// Removes the records that a page covers. The next page of this kind starts after them.
-    pub(super) fn remove_range(&mut self, range: &PageRange) {
-        self.scan_mut(range.kind).remove_range(range);
+    /// Removes and returns the jobs whose records a page covers. The next page of this kind starts after
+    /// them.
+    pub(super) fn take_range(&mut self, range: &PageRange) -> BTreeSet<String> {
+        self.scan_mut(range.kind).take_range(range)
     }
 }
 
@@ -132,9 +137,13 @@
         Some(job)
     }
 
-    fn remove_range(&mut self, range: &PageRange) {
-        self.queued.retain(|job| !range.contains_job(job));
+    fn take_range(&mut self, range: &PageRange) -> BTreeSet<String> {
+        let queued = std::mem::take(&mut self.queued).into_iter();
+        let (covered, rest): (BTreeSet<String>, BTreeSet<String>) =
+            queued.partition(|job| range.contains_job(job));
+        self.queued = rest;
         self.cursor = range.last.map_or(String::new(), str::to_string);
+        covered
     }
 }
 
--- a/src/coordination/requests/polls/types.rs
+++ b/src/coordination/requests/polls/types.rs
@@ -9,6 +9,24 @@
 /// The number that identifies a poll of a batcher; chosen by the driver.
 pub type PollId = u64;
 
+/// The number that identifies a check of dependencies; chosen by the driver.
+pub type CheckId = u64;
+
+/// The result of a check of the dependencies that a submission names.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CheckedDependencies {
+    /// All were accepted, and none is known to be cancelled.
+    Accepted,
+    /// All were accepted, and one is cancelled.
+    Cancelled,
+    /// This one was never accepted.
+    NeverAccepted(String),
+    /// The check takes longer than a client waits. A retry continues it.
+    RateLimited,
+    /// The state service is unavailable to this controller.
+    Unavailable,
+}
+
 /// A query of a job's status.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Poll {
@@ -31,6 +49,8 @@
     Answer(PollId, Answer),
     /// The state service is unavailable to this controller: forward the poll to a peer.
     Forward(PollId),
+    /// A check of dependencies has this result.
+    DependenciesChecked(CheckId, CheckedDependencies),
 }
 
 /// A poll that is not answered yet.
--- a/src/coordination/requests/request.rs
+++ b/src/coordination/requests/request.rs
@@ -24,6 +24,8 @@
 /// query_peers --------------> ForwardingToPeers --------------------------+ |
 /// query -> ReadingLocalView -> ForwardingToLeader --------------------------+
 /// ```
+///
+/// The repeated submission of an open job with dependencies continues as a query of that job.
 pub struct Request {
     job: String,
     has_dependencies: bool,
@@ -142,6 +144,13 @@
                 let result = operation.on_answer(answer);
                 self.advance(result)
             }
+            (
+                RequestEvent::DependenciesChecked(result),
+                State::CallingStore(Operation::Submission(submission)),
+            ) => {
+                let step = submission.on_dependencies_checked(result);
+                self.advance(step)
+            }
             _ => Vec::new(),
         }
     }
@@ -204,15 +213,25 @@
 
     /// Handles the result of a submission or cancellation.
     fn on_decision(&mut self, decision: Decision) -> Vec<RequestEffect> {
-        let accepted = decision.accepted.map(|job| RequestEffect::JobAccepted {
-            record: job.record,
-            version: job.version,
-        });
-        let final_state = decision.answer.reported_final_state();
-        let effects = accepted
-            .into_iter()
-            .chain(final_state.map(RequestEffect::FinalStateRecorded));
-        effects.chain(self.answer(decision.answer)).collect()
+        match decision {
+            Decision::Query => {
+                self.state = State::ReadingLocalView;
+                vec![RequestEffect::ReadLocalView]
+            }
+            Decision::CheckDependencies(jobs) => vec![RequestEffect::CheckDependencies(jobs)],
+            Decision::Accepted { job, answer } => {
+                let accepted = RequestEffect::JobAccepted {
+                    record: job.record,
+                    version: job.version,
+                };
+                [accepted].into_iter().chain(self.answer(answer)).collect()
+            }
+            Decision::Answered(answer) => {
+                let final_state = answer.reported_final_state();
+                let effects = final_state.map(RequestEffect::FinalStateRecorded);
+                effects.into_iter().chain(self.answer(answer)).collect()
+            }
+        }
     }
 
     /// Forwards the request to the next peer: the state service may be unavailable to this controller
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -195,6 +195,9 @@
                 RequestEffect::Store(call) => {
                     RequestEvent::Store(execute_store_call(&self.handles.store, call))
                 }
+                RequestEffect::CheckDependencies(jobs) => {
+                    RequestEvent::DependenciesChecked(self.handles.polls.check_dependencies(jobs))
+                }
                 RequestEffect::Forward(peer) => {
                     let forwarded = ForwardedRequest {
                         kind,
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -5,7 +5,9 @@
 use super::request_queue::{RequestQueue, RequestTask};
 use super::store_calls::execute_store_call;
 use super::threads::spawn;
-use crate::coordination::requests::polls::{Limits, Poll, PollBatcher, PollEffect};
+use crate::coordination::requests::polls::{
+    CheckedDependencies, Limits, Poll, PollBatcher, PollEffect,
+};
 use crate::coordination::requests::{Answer, RetryReason};
 use crate::coordination::Time;
 use crate::protocol::job::JobState;
@@ -19,6 +21,9 @@
 /// How long the driver waits for input while the batcher has no work.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
+/// How long a gateway waits for a check of dependencies.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A poll and where its reply is sent.
 pub struct UserPoll {
     /// The poll.
@@ -31,6 +36,11 @@
 
 enum Input {
     Poll(UserPoll),
+    /// A submission names these dependencies.
+    CheckDependencies {
+        jobs: Vec<String>,
+        reply: Sender<CheckedDependencies>,
+    },
     /// This controller has accepted a job.
     Accepted {
         job: String,
@@ -56,6 +66,18 @@
         }
     }
 
+    /// Checks the dependencies that a submission names; blocks until the result is known or the check has
+    /// timed out.
+    pub fn check_dependencies(&self, jobs: Vec<String>) -> CheckedDependencies {
+        let (reply, result) = bounded(1);
+        let check = Input::CheckDependencies { jobs, reply };
+        if self.0.try_send(check).is_err() {
+            return CheckedDependencies::RateLimited;
+        }
+        let result = result.recv_timeout(CHECK_TIMEOUT);
+        result.unwrap_or(CheckedDependencies::RateLimited)
+    }
+
     /// This controller has accepted a job. If the queue is full the event is dropped, and a poll of the job
     /// then costs a read.
     pub fn job_accepted(&self, job: String, waits_on: Vec<String>) {
@@ -84,6 +106,7 @@
     let driver = PollDriver {
         batcher: PollBatcher::new(Limits::of(settings)),
         pending: HashMap::new(),
+        checks: HashMap::new(),
         last_number: 0,
         epoch: Instant::now(),
         store: store.clone(),
@@ -98,6 +121,8 @@
     batcher: PollBatcher,
     /// The polls that the batcher has not answered yet, by their number.
     pending: HashMap<u64, UserPoll>,
+    /// Where the results of the checks of dependencies are sent, by their number.
+    checks: HashMap<u64, Sender<CheckedDependencies>>,
     last_number: u64,
     epoch: Instant,
     store: KeyValueStore,
@@ -138,6 +163,13 @@
                 let effects = self.batcher.enqueue(self.last_number, poll, self.now());
                 self.execute(effects);
             }
+            Input::CheckDependencies { jobs, reply } => {
+                self.last_number += 1;
+                self.checks.insert(self.last_number, reply);
+                let now = self.now();
+                let effects = self.batcher.check_dependencies(self.last_number, jobs, now);
+                self.execute(effects);
+            }
             Input::Accepted { job, waits_on } => self.batcher.job_accepted(&job, &waits_on),
             Input::FinalStates(final_states) => {
                 for (job, state) in final_states {
@@ -175,6 +207,11 @@
                         (poll.respond)(reply_to_user(answer));
                     }
                 }
+                PollEffect::DependenciesChecked(number, result) => {
+                    if let Some(reply) = self.checks.remove(&number) {
+                        let _ = reply.try_send(result);
+                    }
+                }
                 PollEffect::Forward(number) => {
                     if let Some(poll) = self.pending.remove(&number) {
                         self.forward(poll);
--- a/src/storage/recent_jobs.rs
+++ b/src/storage/recent_jobs.rs
@@ -32,6 +32,11 @@
         self.values.get(id)
     }
 
+    /// Whether a job can be inserted without evicting another one.
+    pub fn has_room(&self) -> bool {
+        self.insertion_order.len() < self.capacity
+    }
+
     /// Inserts a job, unless the index already contains it.
     pub fn insert(&mut self, id: &str, value: T) {
         if self.values.contains_key(id) {
--- a/tests/poll_batching.rs
+++ b/tests/poll_batching.rs
@@ -47,6 +47,7 @@
                 PollEffect::Answer(number, answer) => answers.push((number, answer.status())),
                 PollEffect::FinalStatesRecorded(..) => {}
                 PollEffect::Forward(number) => panic!("poll {number} is forwarded"),
+                PollEffect::DependenciesChecked(number, _) => panic!("no check {number}"),
             }
         }
         if !effects.is_empty() {
--- a/tests/polls/controllers.rs
+++ b/tests/polls/controllers.rs
@@ -99,6 +99,7 @@
             requests_per_s: 0.4 * RPS / CONTROLLERS as f64,
             max_compares: MAX_CONDITIONS,
             max_jobs: 10_000,
+            confirmation_s: 15.0,
         };
         let controller = |_| Controller {
             batcher: PollBatcher::new(limits),
@@ -255,6 +256,7 @@
                     self.answer(requester, answer);
                 }
                 PollEffect::Forward(number) => self.forward(controller, number),
+                PollEffect::DependenciesChecked(number, _) => panic!("no check {number}"),
             }
         }
     }
--- a/tests/requests/simulation.rs
+++ b/tests/requests/simulation.rs
@@ -171,6 +171,7 @@
                 RequestEffect::ReadLocalView => self.wait(key, Waiting::LocalView),
                 RequestEffect::Store(call) => self.wait(key, Waiting::Store(call)),
                 RequestEffect::Forward(peer) => self.wait(key, Waiting::Peer(index_of(&peer))),
+                RequestEffect::CheckDependencies(jobs) => panic!("few dependencies: {jobs:?}"),
                 RequestEffect::JobAccepted { record, version } => {
                     self.job_accepted(controller, *record, version);
                 }
@@ -220,6 +221,7 @@
                         self.controllers[controller].polls.remove(&number).unwrap();
                     self.answer(recipient, answer);
                 }
+                PollEffect::DependenciesChecked(number, _) => panic!("no check {number}"),
                 PollEffect::Forward(number) => {
                     let (job, recipient) =
                         self.controllers[controller].polls.remove(&number).unwrap();
