Open jobs: no entry for a task that waits

Cause: a leader kept an entry of 32 bytes for each task of each open job, and an entry for each shard of its completions.

Change: TaskAllocations keeps two bits for each task up to the highest that was placed or has completed (fixedbitset), and allocations only of tasks that have one; completion records exist from the first completed task of their shard on. Unplaced tasks are found by words of the set instead of one by one from task 0.

--- a/src/coordination/cluster/allocations.rs
+++ b/src/coordination/cluster/allocations.rs
@@ -44,7 +44,7 @@
         let (Some(job), Some(machine)) = (self.jobs.get_mut(&id.job), machine) else {
             return;
         };
-        if job.task(id.task).is_none() || machine.allocations().contains_key(id) {
+        if !job.has_task(id.task) || machine.allocations().contains_key(id) {
             return;
         }
         let profile = job.profile();
@@ -178,14 +178,11 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let mut allocations = Vec::new();
-        for (task, state) in job.tasks().iter().enumerate() {
-            for reference in &state.allocations {
-                let allocation = AllocationId::new(id.clone(), task as u32, reference.attempt);
-                allocations.push((reference.machine.clone(), allocation));
-            }
-        }
-        for (machine, allocation) in allocations {
+        let allocations = job.allocations().map(|(task, reference)| {
+            let allocation = AllocationId::new(id.clone(), task, reference.attempt);
+            (reference.machine.clone(), allocation)
+        });
+        for (machine, allocation) in allocations.collect::<Vec<_>>() {
             self.stop(&machine, &allocation, grace_s, now);
         }
     }
--- a/src/coordination/cluster/heartbeats.rs
+++ b/src/coordination/cluster/heartbeats.rs
@@ -41,8 +41,8 @@
                 continue;
             };
             let id: JobId = job.into();
-            let known = self.jobs.get(&id).and_then(|job| job.task(task));
-            if known.is_some_and(|task| !task.done) {
+            let job = self.jobs.get(&id).filter(|job| job.has_task(task));
+            if job.is_some_and(|job| !job.is_done(task)) {
                 self.complete_task(&id, task, now);
             }
         }
--- a/src/coordination/cluster/jobs.rs
+++ b/src/coordination/cluster/jobs.rs
@@ -38,11 +38,10 @@
     fn add_job(&mut self, record: OpenRecord, version: u64, arrived_at: Time, now: Time) {
         let cancelled = record.cancelled;
         let spec = Arc::new(record.spec);
-        let shards = (spec.tasks as usize).div_ceil(self.shards.tasks_per_shard);
         if !cancelled {
             self.service_arrivals.arrived(&spec, arrived_at);
         }
-        let mut job = Job::new(spec.clone(), version, arrived_at, shards, f64::INFINITY);
+        let mut job = Job::new(spec.clone(), version, arrived_at, f64::INFINITY);
         job.cancelled = cancelled;
         if !job.is_service() {
             let owner = owner(&spec);
@@ -119,16 +118,17 @@
         };
         let is_gang = job.is_gang();
         let tasks = if is_gang {
-            0..job.tasks().len() as u32
+            0..job.task_count()
         } else {
             task..task + 1
         };
         let completed: Vec<u32> = tasks.filter(|task| job.complete_task(*task)).collect();
         job.consecutive_failures = 0;
         // Other allocations of a completed task are no longer needed.
-        let others = match job.task(task) {
-            Some(task) if !is_gang => task.allocations.clone(),
-            _ => Vec::new(),
+        let others = if is_gang {
+            Vec::new()
+        } else {
+            job.allocations_of(task).to_vec()
         };
         let needs_final_state = job.needs_final_state();
         self.attribute_failures(id);
--- a/src/coordination/cluster/reconciliation.rs
+++ b/src/coordination/cluster/reconciliation.rs
@@ -82,7 +82,7 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        if job.task(id.task).is_none() {
+        if !job.has_task(id.task) {
             return;
         }
         let spec = job.spec.clone();
@@ -116,7 +116,7 @@
     fn adopt_task(&mut self, name: &MachineName, id: &AllocationId, state: TaskState, now: Time) {
         let job = self.jobs.get(&id.job);
         let is_unwanted = job.is_some_and(|job| {
-            let is_taken = job.task(id.task).is_some_and(|task| !task.is_unplaced());
+            let is_taken = job.has_task(id.task) && !job.is_unplaced(id.task);
             is_taken || job.cancelled
         });
         warn!(machine = %name, task = %id, "unexpected task on the machine, adding an allocation for it");
--- a/src/coordination/cluster/recovery.rs
+++ b/src/coordination/cluster/recovery.rs
@@ -84,9 +84,8 @@
         }
         match self.shards.shard_index(number) {
             Some(shard) => {
-                if let Some(record) = job.completion_records.get_mut(shard) {
-                    record.version = version;
-                }
+                let record = job.completion_records.entry(shard).or_default();
+                record.version = version;
             }
             // This leader never writes such a record, because it may cover tasks that this leader's own
             // record with the same number does not.
--- a/src/coordination/cluster/writes/completions.rs
+++ b/src/coordination/cluster/writes/completions.rs
@@ -40,7 +40,7 @@
         self.writes.stats_mut().completions += batch.records.len();
         for id in &batch.records {
             let job = self.jobs.get_mut(&id.job);
-            let record = job.and_then(|job| job.completion_records.get_mut(id.shard));
+            let record = job.and_then(|job| job.completion_records.get_mut(&id.shard));
             if let Some(record) = record {
                 record.in_flight = true;
                 record.dirty_since = None;
@@ -75,7 +75,9 @@
             let Some(job) = self.jobs.get(&id.job).filter(|j| is_due(j, &outdated)) else {
                 continue;
             };
-            let record = &job.completion_records[id.shard];
+            let Some(record) = job.completion_records.get(&id.shard) else {
+                continue;
+            };
             if record.in_flight {
                 in_flight.push(outdated);
                 continue;
@@ -95,9 +97,9 @@
     fn stored_completions(&self, job: &Job, shard: usize) -> StoredCompletions {
         let mut stored = StoredCompletions::default();
         let first = shard * self.shards.tasks_per_shard;
-        let last = (first + self.shards.tasks_per_shard).min(job.tasks().len());
-        for task in (first..last).filter(|task| job.tasks()[*task].done) {
-            stored.push_done(task as u32);
+        let last = (first + self.shards.tasks_per_shard).min(job.task_count() as usize);
+        for task in (first as u32..last as u32).filter(|task| job.is_done(*task)) {
+            stored.push_done(task);
             // A completion that does not fit costs at worst another run of the task: its worker keeps
             // the result.
             if stored.bytes() > self.placement_records.max_bytes() {
@@ -114,7 +116,7 @@
             return;
         };
         let shard = task as usize / self.shards.tasks_per_shard;
-        let record = &mut job.completion_records[shard];
+        let record = job.completion_records.entry(shard).or_default();
         if record.dirty_since.is_none() {
             record.dirty_since = Some(now);
             let record = CompletionRecordId {
@@ -136,7 +138,7 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let record = &mut job.completion_records[id.shard];
+        let record = job.completion_records.entry(id.shard).or_default();
         record.in_flight = false;
         match applied {
             Some(revision) => record.version = revision,
@@ -155,7 +157,8 @@
         && !job.final_state_in_flight
         && !job.final_state_recorded
         && !job.needs_final_state();
-    is_open && job.completion_records[outdated.record.shard].dirty_since == Some(outdated.since)
+    let record = job.completion_records.get(&outdated.record.shard);
+    is_open && record.is_some_and(|record| record.dirty_since == Some(outdated.since))
 }
 
 /// Whether a task's completion is not on record yet, so that its worker must not forget it.
@@ -168,7 +171,7 @@
     jobs.get(job).is_some_and(|job| {
         let record = job
             .completion_records
-            .get(task as usize / shards.tasks_per_shard);
+            .get(&(task as usize / shards.tasks_per_shard));
         !job.final_state_recorded && record.is_some_and(|r| r.dirty_since.is_some() || r.in_flight)
     })
 }
--- a/src/coordination/cluster/writes/final_states.rs
+++ b/src/coordination/cluster/writes/final_states.rs
@@ -112,9 +112,9 @@
             });
         }
         self.finished_jobs.forget(id);
-        let stored = job.completion_records.iter().enumerate();
+        let stored = job.completion_records.iter();
         let stored = stored.filter(|(_, record)| record.version > 0);
-        let numbers = stored.map(|(shard, _)| self.shards.record_number(shard));
+        let numbers = stored.map(|(shard, _)| self.shards.record_number(*shard));
         let numbers = numbers.chain(job.foreign_shards.iter().copied());
         let keys = numbers.map(|number| completion_key(id, number));
         self.writes.add_stale_keys(keys);
@@ -133,7 +133,7 @@
 }
 
 fn has_write_in_flight(job: &Job) -> bool {
-    let mut completions = job.completion_records.iter();
+    let mut completions = job.completion_records.values();
     job.final_state_in_flight || completions.any(|record| record.in_flight)
 }
 
--- a/src/coordination/cluster/writes/reread.rs
+++ b/src/coordination/cluster/writes/reread.rs
@@ -70,7 +70,8 @@
             return;
         };
         let job = self.jobs.get_mut(job);
-        if let Some(record) = job.and_then(|job| job.completion_records.get_mut(shard)) {
+        if let Some(job) = job {
+            let record = job.completion_records.entry(shard).or_default();
             record.version = version;
         }
     }
--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -150,7 +150,7 @@
         let cluster = self.cluster;
         self.tasks_by_zone.entry(job.id.clone()).or_insert_with(|| {
             let mut zones = HashMap::new();
-            for allocation in job.tasks().iter().flat_map(|task| &task.allocations) {
+            for (_, allocation) in job.allocations() {
                 if let Some(machine) = cluster.machine(&allocation.machine) {
                     *zones.entry(machine.zone.clone()).or_default() += 1;
                 }
--- a/src/coordination/scheduling/queue_order.rs
+++ b/src/coordination/scheduling/queue_order.rs
@@ -179,7 +179,7 @@
             continue;
         };
         let sum = sums.entry(&job.spec.team).or_default();
-        let tasks = f64::from(job.tasks().len() as u32 - job.completed());
+        let tasks = f64::from(job.task_count() - job.completed());
         sum.add(&job.request(), tasks);
         let fits = sum.cpus <= team.cpus && sum.gpus <= team.gpus;
         within.insert(job.id.clone(), fits);
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -1,8 +1,8 @@
 //! Jobs, from acceptance until their final state is recorded and no machine has a task of theirs.
 
+use super::task_allocations::TaskAllocations;
 use super::{
-    AllocationRef, CompletionRecord, Deadline, JobId, MachineName, Resources, RunTime, Task,
-    TaskProfile,
+    AllocationRef, CompletionRecord, Deadline, JobId, MachineName, Resources, RunTime, TaskProfile,
 };
 use crate::coordination::Time;
 use crate::protocol::job::{JobKind, JobSpec, Priority};
@@ -44,8 +44,8 @@
     pub priority: Priority,
     /// The most urgent deadline of the job and its dependents.
     pub deadline: Option<Deadline>,
-    /// The job's completion records, one for each shard.
-    pub completion_records: Vec<CompletionRecord>,
+    /// The job's completion records by the index of their shard; a shard without a completed task has none.
+    pub completion_records: BTreeMap<usize, CompletionRecord>,
     /// Numbers of completion records that other versions wrote with a different number of shards; they are
     /// deleted when the job is finished.
     pub foreign_shards: Vec<usize>,
@@ -63,25 +63,17 @@
     pub retry_at: Time,
     /// Consecutive failures, each of which made the job pause.
     pub consecutive_failures: u32,
-    tasks: Vec<Task>,
+    tasks: TaskAllocations,
     completed: u32,
     allocated: u32,
     running: u32,
-    /// All tasks with a lower number are placed or completed.
-    first_unplaced: usize,
     first_started_at: Option<Time>,
     last_released_at: Option<Time>,
 }
 
 impl Job {
     /// A newly accepted job without allocations.
-    pub fn new(
-        spec: Arc<JobSpec>,
-        arrival_order: u64,
-        arrived_at: Time,
-        completion_records: usize,
-        predicted_s: f64,
-    ) -> Job {
+    pub fn new(spec: Arc<JobSpec>, arrival_order: u64, arrived_at: Time, predicted_s: f64) -> Job {
         Job {
             id: spec.id.as_str().into(),
             arrival_order,
@@ -91,11 +83,11 @@
             dependency_cancelled: false,
             priority: spec.priority,
             deadline: None,
-            tasks: vec![Task::default(); spec.tasks as usize],
+            tasks: TaskAllocations::new(spec.tasks),
             completed: 0,
             allocated: 0,
             running: 0,
-            completion_records: vec![CompletionRecord::default(); completion_records],
+            completion_records: BTreeMap::new(),
             foreign_shards: Vec::new(),
             cancelled: false,
             final_state_in_flight: false,
@@ -104,7 +96,6 @@
             failed_on: BTreeMap::new(),
             retry_at: 0.0,
             consecutive_failures: 0,
-            first_unplaced: 0,
             first_started_at: None,
             last_released_at: None,
             spec,
@@ -130,14 +121,34 @@
         }
     }
 
-    /// The job's tasks, ordered by number.
-    pub fn tasks(&self) -> &[Task] {
-        &self.tasks
+    /// The number of the job's tasks.
+    pub fn task_count(&self) -> u32 {
+        self.tasks.len()
     }
 
-    /// The task with this number.
-    pub fn task(&self, number: u32) -> Option<&Task> {
-        self.tasks.get(number as usize)
+    /// Whether the job has a task with this number.
+    pub fn has_task(&self, task: u32) -> bool {
+        self.tasks.contains(task)
+    }
+
+    /// Whether a task has completed.
+    pub fn is_done(&self, task: u32) -> bool {
+        self.tasks.is_done(task)
+    }
+
+    /// Whether a task may be placed: it has not completed and has no allocation.
+    pub fn is_unplaced(&self, task: u32) -> bool {
+        self.tasks.is_unplaced(task)
+    }
+
+    /// The allocations on which a task runs or may run.
+    pub fn allocations_of(&self, task: u32) -> &[AllocationRef] {
+        self.tasks.of(task)
+    }
+
+    /// All allocations of the job, each with the number of its task.
+    pub fn allocations(&self) -> impl Iterator<Item = (u32, &AllocationRef)> {
+        self.tasks.iter()
     }
 
     /// How many tasks of the job have completed.
@@ -162,12 +173,9 @@
 
     /// Adds an allocation of a task; returns whether the task exists.
     pub fn add_allocation(&mut self, task: u32, allocation: AllocationRef) -> bool {
-        let Some(task) = self.tasks.get_mut(task as usize) else {
-            return false;
-        };
-        task.allocations.push(allocation);
-        self.allocated += 1;
-        true
+        let exists = self.tasks.add(task, allocation);
+        self.allocated += u32::from(exists);
+        exists
     }
 
     /// Releases an allocation of a task; `has_run` is whether the task was counted as running. Returns the
@@ -180,14 +188,10 @@
         has_run: bool,
         now: Time,
     ) -> Option<AllocationRef> {
-        let allocations = &mut self.tasks.get_mut(task as usize)?.allocations;
-        let matches = |a: &AllocationRef| a.machine == *machine && a.attempt == attempt;
-        let position = allocations.iter().position(matches)?;
-        let released = allocations.swap_remove(position);
+        let released = self.tasks.remove(task, machine, attempt)?;
         self.allocated -= 1;
         self.last_released_at = Some(now);
         self.running -= u32::from(has_run);
-        self.first_unplaced = self.first_unplaced.min(task as usize);
         Some(released)
     }
 
@@ -200,8 +204,7 @@
         placement_record: usize,
     ) {
         let matches = |a: &&mut AllocationRef| a.machine == *machine && a.attempt == attempt;
-        let task = self.tasks.get_mut(task as usize);
-        let allocation = task.and_then(|t| t.allocations.iter_mut().find(matches));
+        let allocation = self.tasks.of_mut(task).iter_mut().find(matches);
         if let Some(allocation) = allocation {
             allocation.placement_record = placement_record;
         }
@@ -215,13 +218,9 @@
 
     /// Marks a task as completed; returns whether the task was not completed before.
     pub fn complete_task(&mut self, number: u32) -> bool {
-        let task = self.tasks.get_mut(number as usize);
-        let Some(task) = task.filter(|task| !task.done) else {
-            return false;
-        };
-        task.done = true;
-        self.completed += 1;
-        true
+        let is_new = self.tasks.complete(number);
+        self.completed += u32::from(is_new);
+        is_new
     }
 
     /// Whether no task of the job has started for so long that the job is placed before others, regardless
@@ -263,7 +262,7 @@
         if self.cancelled || self.dependency_cancelled {
             return self.allocated == 0;
         }
-        !self.is_service() && self.completed as usize == self.tasks.len()
+        !self.is_service() && self.completed == self.tasks.len()
     }
 
     /// Whether the job or one of its dependencies is cancelled.
@@ -302,15 +301,12 @@
 
     /// The numbers of the job's unplaced tasks, in order.
     pub fn unplaced(&self) -> impl Iterator<Item = u32> + '_ {
-        let candidates = self.tasks[self.first_unplaced..].iter().enumerate();
-        candidates
-            .filter(|(_, task)| task.is_unplaced())
-            .map(|(i, _)| (self.first_unplaced + i) as u32)
+        self.tasks.unplaced()
     }
 
     /// How many tasks of the job have neither completed nor an allocation.
     pub fn unplaced_count(&self) -> u32 {
-        (self.tasks.len() as u32)
+        (self.tasks.len())
             .saturating_sub(self.completed)
             .saturating_sub(self.allocated)
     }
--- a/src/coordination/state/mod.rs
+++ b/src/coordination/state/mod.rs
@@ -11,6 +11,7 @@
 mod quota;
 mod resources;
 mod task;
+mod task_allocations;
 mod worker_session;
 
 pub use allocation::{
@@ -26,5 +27,5 @@
 pub use placement_record::{Placement, PlacementRecord, WriteUrgency};
 pub use quota::{QuotaUsage, QuotaUsageByTeam};
 pub use resources::Resources;
-pub use task::{AllocationRef, CompletionRecord, Task};
+pub use task::{AllocationRef, CompletionRecord};
 pub use worker_session::{WorkerSession, MAX_UNACKNOWLEDGED};
--- a/src/coordination/state/task.rs
+++ b/src/coordination/state/task.rs
@@ -1,24 +1,8 @@
-//! Tasks, references to their allocations, and completion records.
+//! References from tasks to their allocations, and completion records.
 
 use super::MachineName;
 use crate::coordination::Time;
 
-/// A task with its allocations. A task may be placed only while it has no allocation.
-#[derive(Clone, Debug, Default)]
-pub struct Task {
-    /// Whether the task has completed.
-    pub done: bool,
-    /// The allocations on which the task runs or may run.
-    pub allocations: Vec<AllocationRef>,
-}
-
-impl Task {
-    /// Whether the task may be placed: it has not completed and has no allocation.
-    pub fn is_unplaced(&self) -> bool {
-        !self.done && self.allocations.is_empty()
-    }
-}
-
 /// A reference from a task to one of its allocations.
 #[derive(Clone, Debug)]
 pub struct AllocationRef {
