Open jobs are bounded by the memory of a leader, before they are accepted

Cause: admission did not know the memory limit, and no controller knows all open jobs.

Each process counts what it has accepted and stops at a limit that the leader sets with its queries for cancellations; what the limits still allow counts as used. Limits carry the leader's fencing token and the process's incarnation, so late ones do no harm. Beyond it a submission gets 503 with Retry-After: 5 before anything is written; repeated ones are answered as before.

--- a/src/coordination/cluster/jobs.rs
+++ b/src/coordination/cluster/jobs.rs
@@ -2,7 +2,7 @@
 
 use super::finished_jobs::FinishedJob;
 use super::{ClusterState, Effect};
-use crate::coordination::state::{AllocationId, Job, JobId};
+use crate::coordination::state::{leader_memory_bytes, AllocationId, Job, JobId};
 use crate::coordination::Time;
 use crate::protocol::job::{JobSpec, JobState, JobStatus};
 use crate::storage::records::OpenRecord;
@@ -37,12 +37,15 @@
 
     fn add_job(&mut self, record: OpenRecord, version: u64, arrived_at: Time, now: Time) {
         let cancelled = record.cancelled;
+        let memory_bytes = leader_memory_bytes(&record.spec, record.bytes());
         let spec = Arc::new(record.spec);
         if !cancelled {
             self.service_arrivals.arrived(&spec, arrived_at);
         }
         let mut job = Job::new(spec.clone(), version, arrived_at, f64::INFINITY);
         job.cancelled = cancelled;
+        job.memory_bytes = memory_bytes;
+        self.open_job_bytes += memory_bytes;
         if !job.is_service() {
             let owner = owner(&spec);
             job.predicted_s = self.predictor.predict(&owner, spec.estimate_s, spec.cpus);
--- a/src/coordination/cluster/mod.rs
+++ b/src/coordination/cluster/mod.rs
@@ -11,12 +11,14 @@
 //! - `machine_health`, `inventory`: silent and faulty machines, and the cloud's list of machines;
 //! - `writes`, [`recovery`]: the records in the key-value store;
 //! - [`cancellation_evidence`], [`heartbeat_routing`]: which leases may be renewed, and how followers
-//!   route heartbeats.
+//!   route heartbeats;
+//! - [`accept_limits`]: how many jobs may be open.
 //!
 //! State with its own invariants is kept behind private fields: `Leadership`, `HeartbeatMonitor`,
 //! `PlacementRecords`, `WriteQueue`, `DependencyGraph`, `Starvation`, `ServiceArrivals`. The work per
 //! event does not grow with the cluster, because pending work is indexed.
 
+pub mod accept_limits;
 mod allocations;
 pub mod cancellation_evidence;
 mod commands;
@@ -79,6 +81,8 @@
     settings: Arc<Settings>,
     leadership: Leadership,
     jobs: BTreeMap<JobId, Job>,
+    /// An estimate of the memory that all jobs take, in bytes.
+    open_job_bytes: u64,
     finished_jobs: FinishedJobs,
     dependencies: DependencyGraph,
     service_arrivals: ServiceArrivals,
@@ -111,6 +115,7 @@
         ClusterState {
             leadership: Leadership::new(token, now),
             jobs: BTreeMap::new(),
+            open_job_bytes: 0,
             finished_jobs: FinishedJobs::default(),
             dependencies: DependencyGraph::default(),
             service_arrivals: ServiceArrivals::default(),
@@ -157,6 +162,11 @@
         self.jobs.get(id)
     }
 
+    /// An estimate of the memory that all known jobs take, in bytes.
+    pub(crate) fn open_job_bytes(&self) -> u64 {
+        self.open_job_bytes
+    }
+
     /// The number of known jobs.
     pub(crate) fn job_count(&self) -> usize {
         self.jobs.len()
--- a/src/coordination/cluster/writes/final_states.rs
+++ b/src/coordination/cluster/writes/final_states.rs
@@ -127,7 +127,8 @@
     pub(crate) fn drop_finished_job(&mut self, id: &JobId) {
         let job = self.jobs.get(id);
         if job.is_some_and(|job| job.final_state_recorded && job.allocated() == 0) {
-            self.jobs.remove(id);
+            let removed = self.jobs.remove(id);
+            self.open_job_bytes -= removed.map_or(0, |job| job.memory_bytes);
         }
     }
 }
--- a/src/coordination/manager.rs
+++ b/src/coordination/manager.rs
@@ -331,6 +331,11 @@
         self.cluster.job_count()
     }
 
+    /// An estimate of the memory that all known jobs take, in bytes.
+    pub fn open_job_bytes(&self) -> u64 {
+        self.cluster.open_job_bytes()
+    }
+
     /// Handles the outcome of a write.
     pub fn write_finished(&mut self, id: u64, outcome: WriteOutcome, now: Time) {
         self.cluster.write_finished(id, outcome, now);
--- a/src/coordination/requests/admission.rs
+++ b/src/coordination/requests/admission.rs
@@ -2,6 +2,7 @@
 
 use super::answers::{Answer, RetryReason};
 use super::context::Context;
+use crate::coordination::state::leader_memory_bytes;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobKind, JobSpec};
 use crate::settings::Settings;
@@ -26,11 +27,13 @@
     }
     let bytes = record.bytes();
     let max_bytes = context.settings.cluster.state.max_record_bytes();
-    (bytes > max_bytes).then(|| {
+    if bytes > max_bytes {
         let reason =
             format!("the job specification takes {bytes} bytes, of at most {max_bytes} bytes");
-        Answer::Malformed(reason)
-    })
+        return Some(Answer::Malformed(reason));
+    }
+    let has_room = leader_memory_bytes(&record.spec, bytes) <= context.free_job_bytes;
+    (!has_room).then_some(Answer::RetryLater(RetryReason::TooManyOpenJobs))
 }
 
 /// The reason why a job can never run with these settings and machine types, if any.
--- a/src/coordination/requests/answers.rs
+++ b/src/coordination/requests/answers.rs
@@ -8,6 +8,9 @@
 /// The default value of Retry-After, in seconds.
 const DEFAULT_RETRY_AFTER_S: u32 = 1;
 
+/// The value of Retry-After while too many jobs are open, in seconds.
+const TOO_MANY_JOBS_RETRY_AFTER_S: u32 = 5;
+
 /// Why a request can't be answered now and has to be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryReason {
@@ -23,6 +26,8 @@
     NotFinalized,
     /// The machine types are not known yet.
     NoMachineTypes,
+    /// The open jobs take as much memory as a leader has for them.
+    TooManyOpenJobs,
     /// The submission conflicted with another one of the same job whose record can't be read yet.
     JustAccepted,
     /// There are more polls than the rate limit allows. A retry takes precedence over newer polls.
@@ -73,6 +78,7 @@
                 "the request needs a feature that is unavailable until the upgrade is finalized"
             }
             RetryReason::NoMachineTypes => "the machine types are not known yet",
+            RetryReason::TooManyOpenJobs => "too many jobs are open",
             RetryReason::JustAccepted => {
                 "the job was just accepted, and its record cannot be read yet"
             }
@@ -84,6 +90,7 @@
     fn retry_after_s(self) -> u32 {
         match self {
             RetryReason::TooManyPolls { retry_after_s } => retry_after_s,
+            RetryReason::TooManyOpenJobs => TOO_MANY_JOBS_RETRY_AFTER_S,
             _ => DEFAULT_RETRY_AFTER_S,
         }
     }
--- a/src/coordination/requests/context.rs
+++ b/src/coordination/requests/context.rs
@@ -15,6 +15,8 @@
     pub settings: Arc<Settings>,
     /// The machine types that the cloud offers; empty until they have been read.
     pub machine_types: Arc<Vec<MachineType>>,
+    /// The memory on a leader that a job may take which this controller accepts now, in bytes.
+    pub free_job_bytes: u64,
     /// Restricts writes to the active cluster version.
     pub write_fence: WriteFence,
     /// The peers, in the order in which a request is forwarded to them.
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -55,6 +55,8 @@
     pub final_state_in_flight: bool,
     /// Whether the job's final state is recorded; a machine may still have one of its tasks.
     pub final_state_recorded: bool,
+    /// An estimate of the memory that the job takes on a leader, in bytes.
+    pub memory_bytes: u64,
     /// The predicted run time of a task, in seconds.
     pub predicted_s: f64,
     /// Machines on which tasks of the job have failed since a task last completed, with the time.
@@ -92,6 +94,7 @@
             cancelled: false,
             final_state_in_flight: false,
             final_state_recorded: false,
+            memory_bytes: 0,
             predicted_s,
             failed_on: BTreeMap::new(),
             retry_at: 0.0,
--- a/src/service/controller/cancellations.rs
+++ b/src/service/controller/cancellations.rs
@@ -7,7 +7,9 @@
 use crate::coordination::Time;
 use crate::protocol::ids::FencingToken;
 use crate::protocol::job::JobState;
+use crate::service::peer_queries::CancellationQuery;
 use crate::storage::cancellation_log::{CancellationLog, Cursor};
+use crate::storage::open_job_budget::{AcceptLimit, AcceptedJobs};
 use crate::transport::peers::Peers;
 use tracing::warn;
 
@@ -72,14 +74,37 @@
             return;
         }
         self.cancellations.peers_queried_at = now;
-        for peer in self.handles.peers.names() {
+        self.limit_own_jobs(now);
+        let peers: Vec<String> = self.handles.peers.names().cloned().collect();
+        for peer in &peers {
             self.query_cancellations_of(peer);
         }
     }
 
-    fn query_cancellations_of(&self, peer: &str) {
-        let cursor = self.cancellations.evidence.cursor(peer);
-        self.handles.cancellation_queries.query(peer, cursor);
+    fn query_cancellations_of(&mut self, peer: &str) {
+        let query = CancellationQuery {
+            after: self.cancellations.evidence.cursor(peer),
+            limit: self.next_accept_limit(peer),
+        };
+        self.handles.cancellation_queries.query(peer, query);
+    }
+
+    /// Sets this controller's own limit for accepted jobs.
+    fn limit_own_jobs(&mut self, now: Time) {
+        let name = self.settings.name.clone();
+        let report = self.handles.open_jobs.report();
+        self.accept_limits.reported(&name, report, now);
+        if let Some(limit) = self.next_accept_limit(&name) {
+            self.handles.open_jobs.set_limit(report.incarnation, limit);
+        }
+    }
+
+    /// The next limit of a controller for accepted jobs, if it has reported in this term.
+    fn next_accept_limit(&mut self, controller: &str) -> Option<AcceptLimit> {
+        let open_bytes = self.role.manager()?.open_job_bytes();
+        let bytes = self.accept_limits.next_limit(controller, open_bytes)?;
+        let token = self.role.token();
+        Some(AcceptLimit { token, bytes })
     }
 
     /// Applies a peer's answer, and queries for the next page if there is one.
@@ -87,10 +112,15 @@
         &mut self,
         peer: &str,
         answer: Option<PeerCancellations>,
+        accepted_jobs: Option<AcceptedJobs>,
     ) {
         let Some(answer) = answer else {
             return;
         };
+        if let Some(accepted_jobs) = accepted_jobs {
+            self.accept_limits
+                .reported(peer, accepted_jobs, answer.received);
+        }
         for job in &answer.page.jobs {
             self.apply_final_state(job, JobState::Cancelled);
         }
@@ -105,6 +135,7 @@
         let manager = self.role.manager_mut();
         if manager.is_some_and(|manager| manager.first_token() == token) {
             self.cancellations.evidence.records_read(sent_at);
+            self.accept_limits.records_read(sent_at);
         }
     }
 }
--- a/src/service/controller/election_events.rs
+++ b/src/service/controller/election_events.rs
@@ -1,6 +1,7 @@
 //! How the controller becomes the leader and steps down.
 
 use super::{Controller, Role};
+use crate::coordination::cluster::accept_limits::AcceptLimits;
 use crate::coordination::cluster::recovery::Records;
 use crate::coordination::election::{ElectionEvent, ElectionRequest};
 use crate::coordination::manager::ClusterManager;
@@ -102,6 +103,7 @@
         manager.set_write_fence(self.handles.write_fence.get());
         manager.set_machine_types(self.machine_types.clone());
         manager.recover(records, wall_ms(), now);
+        self.accept_limits = AcceptLimits::new(&self.settings);
         self.role = Role::Leading(Box::new(manager));
         self.cancellations.evidence.records_read(sent_at);
         self.handles.io_threads.call_cloud(CloudCall::List);
--- a/src/service/controller/handles.rs
+++ b/src/service/controller/handles.rs
@@ -8,6 +8,7 @@
 use crate::service::upgrade::SharedWriteFence;
 use crate::storage::cancellation_log::CancellationLog;
 use crate::storage::key_value_store::KeyValueStore;
+use crate::storage::open_job_budget::OpenJobBudget;
 use crate::transport::peers::Peers;
 use crossbeam::channel::Sender;
 
@@ -30,6 +31,8 @@
     pub cancellation_log: CancellationLog,
     /// The threads that query the other controllers for the cancellations that they have confirmed.
     pub cancellation_queries: CancellationQueries,
+    /// The jobs that this controller may accept.
+    pub open_jobs: OpenJobBudget,
     /// What this controller may write at the active cluster version.
     pub write_fence: SharedWriteFence,
 }
--- a/src/service/controller/message_handler.rs
+++ b/src/service/controller/message_handler.rs
@@ -36,9 +36,11 @@
             Message::ReceivesHeartbeats { respond } => self.answer_receives_heartbeats(respond),
             Message::PromiseRequested { token, respond } => self.answer_promise(token, respond),
             Message::PromisesCollected { token } => self.apply_promises_collected(token),
-            Message::PeerCancellations { peer, answer } => {
-                self.apply_peer_cancellations(&peer, answer);
-            }
+            Message::PeerCancellations {
+                peer,
+                answer,
+                accepted_jobs,
+            } => self.apply_peer_cancellations(&peer, answer, accepted_jobs),
         }
     }
 
--- a/src/service/controller/mod.rs
+++ b/src/service/controller/mod.rs
@@ -20,6 +20,7 @@
 
 use super::io_thread_pool::CloudCall;
 use super::messages::Message;
+use crate::coordination::cluster::accept_limits::AcceptLimits;
 use crate::coordination::cluster::heartbeat_routing::HeartbeatRouter;
 use crate::coordination::Time;
 use crate::protocol::cloud::{MachineType, LIST_PAGE_SIZE};
@@ -84,6 +85,8 @@
     /// lower one.
     promised_token: FencingToken,
     cancellations: KnownCancellations,
+    /// The limits of all controllers for accepted jobs, while this one leads.
+    accept_limits: AcceptLimits,
 }
 
 impl Controller {
@@ -106,6 +109,7 @@
             is_backlogged: false,
             promised_token: FencingToken::default(),
             cancellations: KnownCancellations::new(&handles.peers, &handles.cancellation_log),
+            accept_limits: AcceptLimits::new(&settings),
             handles,
             settings,
         }
--- a/src/service/controller/role.rs
+++ b/src/service/controller/role.rs
@@ -21,6 +21,14 @@
 
 impl Role {
     /// The manager of the cluster, while this controller leads.
+    pub(super) fn manager(&self) -> Option<&ClusterManager> {
+        match self {
+            Role::Leading(manager) => Some(manager),
+            Role::Follower | Role::Recovering { .. } => None,
+        }
+    }
+
+    /// Mutable access to the manager of the cluster, while this controller leads.
     pub(super) fn manager_mut(&mut self) -> Option<&mut ClusterManager> {
         match self {
             Role::Leading(manager) => Some(manager),
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -16,8 +16,10 @@
 use crate::coordination::requests::{
     Context, LocalJobView, PeerAnswer, Request, RequestEffect, RequestEvent,
 };
+use crate::coordination::state::leader_memory_bytes;
 use crate::settings::Settings;
 use crate::storage::key_value_store::KeyValueStore;
+use crate::storage::open_job_budget::OpenJobBudget;
 use crate::transport::api_server::ApiRequest;
 use crate::transport::peers::{ForwardedRequest, Kind, Peers};
 use crate::transport::{Reply, Responder};
@@ -50,6 +52,8 @@
     pub machine_types: Arc<SharedMachineTypes>,
     /// The queue of polls that are answered from the records.
     pub polls: PollQueue,
+    /// The jobs that this controller may accept.
+    pub open_jobs: OpenJobBudget,
     /// What this controller may write at the active cluster version.
     pub write_fence: SharedWriteFence,
     /// Publishes final states before they are confirmed to users.
@@ -170,6 +174,7 @@
         Context {
             settings: self.handles.settings.clone(),
             machine_types: self.handles.machine_types.get(),
+            free_job_bytes: self.handles.open_jobs.free_bytes(),
             write_fence: self.handles.write_fence.get(),
             peers: self.handles.peers.names().cloned().collect(),
             from_peer,
@@ -228,6 +233,8 @@
 
     fn publish_acceptance(&self, job: AcceptedJob) {
         let spec = &job.record.spec;
+        let bytes = leader_memory_bytes(spec, job.record.bytes());
+        self.handles.open_jobs.accepted(bytes);
         self.handles
             .polls
             .job_accepted(spec.id.clone(), spec.waits_on.clone());
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -12,6 +12,7 @@
 use crate::protocol::ids::FencingToken;
 use crate::protocol::job::JobState;
 use crate::protocol::worker::Heartbeat;
+use crate::storage::open_job_budget::AcceptedJobs;
 use crate::storage::records::{FinalStateRecord, OpenRecord};
 use crate::transport::Responder;
 use crossbeam::channel::Sender;
@@ -94,6 +95,8 @@
         peer: String,
         /// The peer's answer; `None` if it did not answer.
         answer: Option<PeerCancellations>,
+        /// What the peer has accepted, if it reports that.
+        accepted_jobs: Option<AcceptedJobs>,
     },
 }
 
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -33,6 +33,7 @@
 use crate::settings::Settings;
 use crate::storage::cancellation_log::CancellationLog;
 use crate::storage::key_value_store::KeyValueStore;
+use crate::storage::open_job_budget::OpenJobBudget;
 use crate::transport::api_server::{self, Bounds};
 use crate::transport::peers::Peers;
 use crate::transport::runtime::Runtime;
@@ -109,6 +110,7 @@
     store: KeyValueStore,
     write_fence: SharedWriteFence,
     machine_types: Arc<SharedMachineTypes>,
+    open_jobs: OpenJobBudget,
 }
 
 impl SharedResources {
@@ -121,7 +123,12 @@
         let epoch = Instant::now();
         let cancellations = CancellationLog::new(cancellation_capacity(&settings));
         let runtime = Runtime::start().context("cannot start the runtime")?;
-        let peers = start_peer_server(&settings, &runtime, &inbox, &requests, &cancellations)?;
+        let open_jobs = OpenJobBudget::new(&settings, cancellations.incarnation());
+        let router = CallRouter {
+            inbox: inbox.clone(),
+            requests: requests.clone(),
+        };
+        let peers = start_peer_server(&settings, &runtime, router, &cancellations, &open_jobs)?;
         Ok(SharedResources {
             epoch,
             inbox,
@@ -132,6 +139,7 @@
             store: KeyValueStore::new(settings.endpoints.state, GATEWAYS),
             write_fence: SharedWriteFence::new(settings.upgrade.is_some()),
             machine_types: Arc::default(),
+            open_jobs,
             settings: Arc::new(settings),
         })
     }
@@ -175,6 +183,7 @@
             tasks: tasks.clone(),
             machine_types: self.machine_types.clone(),
             polls,
+            open_jobs: self.open_jobs.clone(),
             write_fence: self.write_fence.clone(),
             final_state_notifier,
         };
@@ -205,6 +214,7 @@
             io_threads,
             cancellation_log: self.cancellations.clone(),
             cancellation_queries,
+            open_jobs: self.open_jobs.clone(),
             write_fence: self.write_fence.clone(),
         })
     }
@@ -234,14 +244,10 @@
 fn start_peer_server(
     settings: &Settings,
     runtime: &Runtime,
-    inbox: &Sender<Message>,
-    requests: &RequestQueue,
+    router: CallRouter,
     cancellations: &CancellationLog,
+    open_jobs: &OpenJobBudget,
 ) -> anyhow::Result<Peers> {
-    let router = CallRouter {
-        inbox: inbox.clone(),
-        requests: requests.clone(),
-    };
     let handler = move |call, respond| router.route_peer_call(call, respond);
     let addresses: Vec<_> = settings
         .peers
@@ -254,6 +260,7 @@
         &addresses,
         Arc::new(handler),
         cancellations.clone(),
+        open_jobs.clone(),
     )
     .with_context(|| {
         format!(
--- a/src/service/peer_queries/mod.rs
+++ b/src/service/peer_queries/mod.rs
@@ -4,6 +4,6 @@
 mod promise_collector;
 mod reachability;
 
-pub use cancellation_queries::CancellationQueries;
+pub use cancellation_queries::{CancellationQueries, CancellationQuery};
 pub use promise_collector::PromiseCollector;
 pub use reachability::probe;
--- a/src/storage/cancellation_log.rs
+++ b/src/storage/cancellation_log.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// The incarnation of this process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     fn entries(&self) -> MutexGuard<'_, Entries> {
         self.entries.lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -3,10 +3,12 @@
 //! - [`key_value_store`]: the client of the state service; [`outcome`]: the outcomes of its requests
 //! - [`records`]: the keys and their values
 //! - [`token_bucket`]: the rate limiter; [`request_counts`]: statistics of the requests sent
-//! - [`recent_jobs`], [`cancellation_log`]: bounded in-memory indexes, lost when the process ends
+//! - [`recent_jobs`], [`cancellation_log`], [`open_job_budget`]: bounded in-memory state, lost when the
+//!   process ends
 
 pub mod cancellation_log;
 pub mod key_value_store;
+pub mod open_job_budget;
 pub mod outcome;
 pub mod recent_jobs;
 pub mod records;
--- a/src/transport/peers/client.rs
+++ b/src/transport/peers/client.rs
@@ -2,9 +2,12 @@
 
 use super::wire::peer_client::PeerClient;
 use super::wire::{AskRequest, CancellationsRequest, HearsRequest, PromiseRequest, ReportRequest};
-use super::{server, ForwardedRequest, PeerHandler, CALL_TIMEOUT, CONNECT_TIMEOUT};
+use super::{
+    server, ConfirmedByPeer, ForwardedRequest, PeerHandler, CALL_TIMEOUT, CONNECT_TIMEOUT,
+};
 use crate::protocol::ids::FencingToken;
 use crate::storage::cancellation_log::{CancellationLog, CancellationPage, Cursor};
+use crate::storage::open_job_budget::{AcceptLimit, AcceptedJobs, OpenJobBudget};
 use crate::transport::runtime::Runtime;
 use crate::transport::Reply;
 use crossbeam::channel::bounded;
@@ -35,12 +38,13 @@
         peers: &[(String, SocketAddr)],
         handler: Arc<PeerHandler>,
         cancellations: CancellationLog,
+        open_jobs: OpenJobBudget,
     ) -> std::io::Result<Peers> {
         let channels = {
             let _entered = runtime.enter();
             connect(peers)?
         };
-        server::start(runtime, listen, handler, cancellations);
+        server::start(runtime, listen, handler, cancellations, open_jobs);
         Ok(Peers {
             runtime: runtime.clone(),
             channels: Arc::new(channels),
@@ -138,20 +142,29 @@
     }
 
     /// Requests the cancellations that another controller has confirmed since the cursor of an earlier
-    /// page; `None` if the call fails, for example because the peer's release does not have it.
+    /// page, and what it has accepted. Sets its limit for accepted jobs, if there is one. The result is
+    /// `None` if the call fails, for example because the peer's release does not have it.
     pub fn cancellations(
         &self,
         name: &str,
         after: Cursor,
+        limit: Option<AcceptLimit>,
         timeout: Duration,
-    ) -> Option<CancellationPage> {
+    ) -> Option<ConfirmedByPeer> {
         let mut client = self.client(name)?;
         let request = CancellationsRequest {
             incarnation: after.incarnation,
             next: after.next,
+            accept_limit: limit.map(|limit| limit.bytes),
+            token: limit.map_or(0, |limit| limit.token.0),
         };
         let reply = self.call(timeout, async move { client.cancellations(request).await })?;
-        Some(CancellationPage {
+        let accepted_jobs = reply.accepted_bytes.map(|accepted_bytes| AcceptedJobs {
+            incarnation: reply.incarnation,
+            accepted_bytes,
+            limit_bytes: reply.accept_limit,
+        });
+        let cancellations = CancellationPage {
             cursor: Cursor {
                 incarnation: reply.incarnation,
                 next: reply.next,
@@ -159,6 +172,10 @@
             continues: reply.continues,
             complete: reply.complete,
             jobs: reply.jobs.iter().map(|job| job.as_str().into()).collect(),
+        };
+        Some(ConfirmedByPeer {
+            cancellations,
+            accepted_jobs,
         })
     }
 
--- a/src/transport/peers/mod.rs
+++ b/src/transport/peers/mod.rs
@@ -8,6 +8,8 @@
 
 use super::Responder;
 use crate::protocol::ids::FencingToken;
+use crate::storage::cancellation_log::CancellationPage;
+use crate::storage::open_job_budget::AcceptedJobs;
 use std::time::Duration;
 
 /// The generated messages, client and server of `proto/peer.proto`.
@@ -61,6 +63,15 @@
     pub has_dependencies: bool,
 }
 
+/// What another controller has confirmed to users.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfirmedByPeer {
+    /// A page of its log of cancellations.
+    pub cancellations: CancellationPage,
+    /// What it has accepted; `None` if its release does not report that.
+    pub accepted_jobs: Option<AcceptedJobs>,
+}
+
 /// Handles requests from other controllers: replies at once, or stores the responder to reply later.
 pub type PeerHandler = dyn Fn(PeerRequest, Responder) + Send + Sync;
 
--- a/src/transport/peers/server.rs
+++ b/src/transport/peers/server.rs
@@ -7,6 +7,7 @@
 use super::{PeerHandler, PeerRequest, CALL_TIMEOUT, CONNECT_TIMEOUT, MAX_MESSAGE_BYTES};
 use crate::protocol::ids::FencingToken;
 use crate::storage::cancellation_log::{CancellationLog, Cursor};
+use crate::storage::open_job_budget::{AcceptLimit, OpenJobBudget};
 use crate::transport::runtime::Runtime;
 use crate::transport::Reply;
 use std::net::SocketAddr;
@@ -21,6 +22,7 @@
 struct Service {
     handler: Arc<PeerHandler>,
     cancellations: CancellationLog,
+    open_jobs: OpenJobBudget,
 }
 
 /// Serves peers in the background, and restarts the server when it fails.
@@ -29,10 +31,12 @@
     listen: SocketAddr,
     handler: Arc<PeerHandler>,
     cancellations: CancellationLog,
+    open_jobs: OpenJobBudget,
 ) {
     let service = PeerServer::new(Service {
         handler,
         cancellations,
+        open_jobs,
     })
     .max_decoding_message_size(MAX_MESSAGE_BYTES);
     runtime.spawn(async move {
@@ -122,6 +126,12 @@
         request: Request<CancellationsRequest>,
     ) -> Result<Response<CancellationsReply>, Status> {
         let request = request.into_inner();
+        if let Some(bytes) = request.accept_limit {
+            let token = FencingToken(request.token);
+            let limit = AcceptLimit { token, bytes };
+            self.open_jobs.set_limit(request.incarnation, limit);
+        }
+        let accepted = self.open_jobs.report();
         let page = self.cancellations.page(Cursor {
             incarnation: request.incarnation,
             next: request.next,
@@ -132,6 +142,8 @@
             continues: page.continues,
             complete: page.complete,
             jobs: page.jobs.iter().map(|job| job.to_string()).collect(),
+            accepted_bytes: Some(accepted.accepted_bytes),
+            accept_limit: accepted.limit_bytes,
         }))
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,6 +93,7 @@
     Context {
         settings: Arc::new(Settings::parse("test", SETTINGS).unwrap()),
         machine_types: Arc::new(vec![machine_type()]),
+        free_job_bytes: u64::MAX,
         write_fence,
         peers: vec!["b".into(), "c".into()],
         from_peer: false,
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,6 +1,9 @@
 //! Calls between controllers, also with one of the previous version, which lacks some of the calls.
 
+use stairstage::protocol::ids::FencingToken;
+use stairstage::settings::Settings;
 use stairstage::storage::cancellation_log::{CancellationLog, Cursor};
+use stairstage::storage::open_job_budget::{AcceptLimit, OpenJobBudget};
 use stairstage::transport::peers::wire::peer_server::{Peer, PeerServer};
 use stairstage::transport::peers::wire::{
     AskReply, AskRequest, CancellationsReply, CancellationsRequest, HearsReply, HearsRequest,
@@ -14,6 +17,26 @@
 use std::time::{Duration, Instant};
 use tonic::{Request, Response, Status};
 
+/// The settings of all controllers.
+const SETTINGS: &str = r#"
+host_name = "a"
+zone = "z"
+front = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+endpoints = { cloud = "127.0.0.1:3", state = "127.0.0.1:4" }
+[settings]
+teams = [{ name = "t" }]
+workers = { report_s = 2.0, lease_s = 12.0, gang_wait_s = 20.0, gang_peer_s = 4.0, cancel_s = 30.0 }
+state = { rps = 200.0, write_rps = 100.0, value_kb = 16.0, txn_ops = 8 }
+cloud = { rps = 10.0, list_lag_s = 4.0 }
+limits = { ram_mb = 100.0, max_sockets = 500 }
+"#;
+
+/// The budget of a process with this incarnation.
+fn open_job_budget(incarnation: u64) -> OpenJobBudget {
+    OpenJobBudget::new(&Settings::parse("test", SETTINGS).unwrap(), incarnation)
+}
+
 /// A controller of the previous version. It handles every request as a plain submission, as that version
 /// does with a kind that it does not know.
 struct PreviousVersion {
@@ -73,7 +96,15 @@
     });
     let others = [("previous".to_string(), previous_address)];
     let log = CancellationLog::new(10);
-    let peers = Peers::start(&runtime, own, &others, Arc::new(|_, _| {}), log).unwrap();
+    let peers = Peers::start(
+        &runtime,
+        own,
+        &others,
+        Arc::new(|_, _| {}),
+        log,
+        open_job_budget(1),
+    )
+    .unwrap();
     (runtime, peers)
 }
 
@@ -122,7 +153,7 @@
 fn peer_of_the_previous_version_returns_no_cancellations() {
     let (_runtime, peers) = with_previous_version(Arc::default());
     answered(|| peers.receives_heartbeats("previous", TIMEOUT));
-    let cancellations = peers.cancellations("previous", Cursor::default(), TIMEOUT);
+    let cancellations = peers.cancellations("previous", Cursor::default(), None, TIMEOUT);
     assert_eq!(cancellations, None);
 }
 
@@ -133,12 +164,18 @@
     log.record("req-1");
     let runtime = Runtime::start().unwrap();
     let start = |own, others: &[(String, SocketAddr)], log| {
-        Peers::start(&runtime, own, others, Arc::new(|_, _| {}), log).unwrap()
+        let budget = open_job_budget(1);
+        Peers::start(&runtime, own, others, Arc::new(|_, _| {}), log, budget).unwrap()
     };
     let _responder = start(responder, &[], log.clone());
     let others = [("responder".to_string(), responder)];
     let peers = start(caller, &others, CancellationLog::new(10));
-    let call = |after| answered(|| peers.cancellations("responder", after, TIMEOUT));
+    let call = |after| {
+        answered(|| {
+            let confirmed = peers.cancellations("responder", after, None, TIMEOUT)?;
+            Some(confirmed.cancellations)
+        })
+    };
     let first = call(Cursor::default());
     assert_eq!(first, log.page(Cursor::default()));
     assert!(
@@ -150,3 +187,50 @@
     assert!(second.continues && second.complete);
     assert_eq!(second.jobs, ["req-2".into()]);
 }
+
+#[test]
+fn peer_reports_what_it_has_accepted_and_applies_its_limit() {
+    let (responder, caller) = (free_address(), free_address());
+    let runtime = Runtime::start().unwrap();
+    let log = CancellationLog::with_incarnation(5, 10);
+    let budget = open_job_budget(5);
+    let start = |own, others: &[(String, SocketAddr)], budget: OpenJobBudget| {
+        Peers::start(
+            &runtime,
+            own,
+            others,
+            Arc::new(|_, _| {}),
+            log.clone(),
+            budget,
+        )
+        .unwrap()
+    };
+    let _responder = start(responder, &[], budget.clone());
+    let others = [("responder".to_string(), responder)];
+    let peers = start(caller, &others, open_job_budget(6));
+    budget.accepted(4000);
+    let call = |after, limit| answered(|| peers.cancellations("responder", after, limit, TIMEOUT));
+    let first = call(Cursor::default(), None);
+    assert_eq!(first.accepted_jobs, Some(budget.report()));
+    let limit = AcceptLimit {
+        token: FencingToken(7),
+        bytes: 4242,
+    };
+    let second = call(first.cancellations.cursor, Some(limit));
+    assert_eq!(second.accepted_jobs, Some(budget.report()));
+    assert_eq!(budget.free_bytes(), 242);
+    // A limit for another process, or of a former leader, is ignored.
+    let former = AcceptLimit {
+        token: FencingToken(6),
+        bytes: 9000,
+    };
+    call(first.cancellations.cursor, Some(former));
+    call(
+        Cursor::default(),
+        Some(AcceptLimit {
+            bytes: 9000,
+            ..limit
+        }),
+    );
+    assert_eq!(budget.free_bytes(), 242);
+}
--- a/tests/requests/simulation.rs
+++ b/tests/requests/simulation.rs
@@ -102,6 +102,7 @@
         Context {
             settings: self.settings.clone(),
             machine_types: Arc::new(vec![machine_type]),
+            free_job_bytes: u64::MAX,
             write_fence: WriteFence::Unstaged,
             peers: (0..CONTROLLERS)
                 .filter(|i| *i != controller)
