--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,5 +1,8 @@
 //! Calls between controllers, also with one of the previous version, which lacks some of the calls.
 
+mod common;
+
+use common::SETTINGS;
 use stairstage::protocol::ids::FencingToken;
 use stairstage::settings::Settings;
 use stairstage::storage::cancellation_log::{CancellationLog, Cursor};
@@ -17,21 +20,6 @@
 use std::time::{Duration, Instant};
 use tonic::{Request, Response, Status};
 
-/// The settings of all controllers.
-const SETTINGS: &str = r#"
-host_name = "a"
-zone = "z"
-front = "127.0.0.1:1"
-cluster_listen = "127.0.0.1:2"
-endpoints = { cloud = "127.0.0.1:3", state = "127.0.0.1:4" }
-[settings]
-teams = [{ name = "t" }]
-workers = { report_s = 2.0, lease_s = 12.0, gang_wait_s = 20.0, gang_peer_s = 4.0, cancel_s = 30.0 }
-state = { rps = 200.0, write_rps = 100.0, value_kb = 16.0, txn_ops = 8 }
-cloud = { rps = 10.0, list_lag_s = 4.0 }
-limits = { ram_mb = 100.0, max_sockets = 500 }
-"#;
-
 /// The budget of a process with this incarnation.
 fn open_job_budget(incarnation: u64) -> OpenJobBudget {
     OpenJobBudget::new(&Settings::parse("test", SETTINGS).unwrap(), incarnation)
