--- a/tests/workload_simulation/main.rs
+++ b/tests/workload_simulation/main.rs
@@ -5,6 +5,7 @@
 mod combined_faults;
 #[path = "../common/mod.rs"]
 mod common;
+mod expected_replicas;
 mod failovers;
 mod failures;
 mod overload;
