--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -310,3 +310,69 @@
         wrong.len()
     ))
 }
+
+/// Not a case: the entry of KNOWN-RED.txt, with real processes. A guest's tasks fill the only machine but
+/// for what is kept for expected replicas; with trouble, services come and go at the site's usual rate.
+pub fn kept_room(folder: &str, trouble: bool) -> Outcome {
+    const PERIOD_S: f64 = 60.0 / 7.4;
+    let mut site = portlouis();
+    site.teams.push(("creole-lexicon", 0.0, 0.0));
+    site.types.retain(|t| t.name == "press-64");
+    (site.types[0].count, site.types[0].startup_s) = (1, 20.0);
+    let cluster = Cluster::start(site, folder);
+    if !cluster.wait_for_leader() {
+        return could_not("there is no leader");
+    }
+    let service = |number: usize| {
+        let mut service = portal(&format!("req-{:06}", 900_000 + number));
+        service.legs = 1;
+        service
+    };
+    const REPLICAS: usize = 8;
+    for number in 0..REPLICAS {
+        cluster.submit(0, &service(number));
+    }
+    sleep(8.0);
+    let mut fill = Submission::array("req-700000", "creole-lexicon", 500, 150.0);
+    fill.precedence = "idle";
+    (fill.cpus, fill.mem_gb) = (0.25, 0.3);
+    let mut job = Submission::array("req-800000", "grid-desk-00", 1, 25.0);
+    (job.cpus, job.mem_gb) = (2.0, 6.4);
+    let (mut next, mut number) = (now(), REPLICAS);
+    let (mut filled, mut submitted_at) = (false, f64::INFINITY);
+    let (mut room_since, mut longest) = (f64::INFINITY, 0.0_f64);
+    while now() < 114.0 {
+        sleep(0.2);
+        if trouble && now() >= next {
+            next += PERIOD_S;
+            let oldest = format!("/v2/runs/req-{:06}/abort", 900_000 + number - REPLICAS);
+            cluster.call(0, "POST", &oldest, "", 5.0);
+            cluster.submit(0, &service(number));
+            number += 1;
+        }
+        if !filled && now() > 13.0 {
+            filled = true;
+            cluster.submit(0, &fill);
+        }
+        if submitted_at.is_infinite() && now() > 19.0 {
+            cluster.submit(0, &job);
+            submitted_at = now();
+        }
+        let waits = submitted_at.is_finite() && cluster.fleet.running(&job.id) == 0;
+        if waits && cluster.fleet.most_free_cpus() >= job.cpus {
+            room_since = room_since.min(now());
+            longest = longest.max(now() - room_since);
+        } else {
+            room_since = f64::INFINITY;
+        }
+    }
+    note(format!(
+        "the job waited beside room for {longest:.0} s without a break"
+    ));
+    if longest <= 90.0 {
+        return Outcome::Held;
+    }
+    Outcome::Broken(format!(
+        "a job waited for {longest:.0} s beside room for it"
+    ))
+}
--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -85,6 +85,7 @@
         cpus,
         mem_gb,
         boot_s: 2.0,
+        startup_s: 2.0,
         count,
     }
 }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -16,7 +16,10 @@
     pub name: &'static str,
     pub cpus: f64,
     pub mem_gb: f64,
+    /// How long a machine boots.
     pub boot_s: f64,
+    /// How long it boots by the cloud's list of types.
+    pub startup_s: f64,
     pub count: usize,
 }
 
@@ -124,7 +127,7 @@
                 let types = self.types.iter().map(|t| {
                     format!(
                         "{{\"sku\":\"{}\",\"cpus\":{:?},\"gpus\":0.0,\"mem_gb\":{:?},\"cache_gb\":200.0,\"pull_gb_per_s\":1.0,\"price\":1.0,\"market_price\":0.4,\"startup_s\":{:?},\"berths\":[\"{}\"]}}",
-                        t.name, t.cpus, t.mem_gb, t.boot_s, self.zone
+                        t.name, t.cpus, t.mem_gb, t.startup_s, self.zone
                     )
                 });
                 reply(
@@ -548,6 +551,20 @@
         }
     }
 
+    /// The most CPUs that are free on one machine.
+    pub fn most_free_cpus(&self) -> f64 {
+        let machines = self.machines.lock().expect("lock");
+        let machines: Vec<Arc<Machine>> = machines.values().cloned().collect();
+        let free = machines.iter().map(|machine| {
+            let worker = machine.worker.lock().expect("lock");
+            let jobs = self.jobs.lock().expect("lock");
+            let live = worker.tasks.iter().filter(|(_, t)| t.state != "exited");
+            let of_job = |leg: &str| jobs.get(leg.split('/').next()?).map(|job| job.cpus);
+            machine.kind.cpus - live.filter_map(|((leg, _), _)| of_job(leg)).sum::<f64>()
+        });
+        free.fold(0.0, f64::max)
+    }
+
     /// The number of tasks of a job that are on machines now.
     pub fn running(&self, job: &str) -> usize {
         let totals = self.totals.lock().expect("lock");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -26,6 +26,7 @@
         "small-tasks" => cases::small_tasks(folder, trouble),
         "short-tasks" => cases::short_tasks(folder, trouble),
         "memory" => cases::memory(folder, trouble),
+        "kept-room" => cases::kept_room(folder, trouble),
         "refused" => cases::refused(folder, trouble),
         _ => Outcome::CouldNotRun(format!("unknown case {case}")),
     };
