--- a/src/coordination/cluster/dependencies.rs
+++ b/src/coordination/cluster/dependencies.rs
@@ -1,5 +1,5 @@
-//! Dependencies between jobs: when a dependent may start, when it is cancelled, and which deadlines and
-//! priorities a job inherits from its dependents.
+//! Dependencies between jobs: when a dependent may start, and when it is cancelled. The module `urgency`
+//! treats the deadlines and priorities that a job inherits from its dependents.
 //!
 //! A job with unmet dependencies takes no part in scheduling. It may start once the final state of each
 //! dependency is on record as `done`; an unknown state means waiting. Final states cannot be listed, so
@@ -8,9 +8,9 @@
 //! recorded, and users are notified then.
 
 use super::{ClusterState, Effect};
-use crate::coordination::state::{Deadline, Job, JobId};
+use crate::coordination::state::{Job, JobId};
 use crate::coordination::Time;
-use crate::protocol::job::{JobState, Priority};
+use crate::protocol::job::JobState;
 use crate::storage::records::FinalStateRecord;
 use std::collections::{BTreeSet, HashMap};
 use tracing::{debug, info};
@@ -63,7 +63,8 @@
         self.dependents.remove(job).unwrap_or_default()
     }
 
-    fn dependents_of(&self, job: &JobId) -> impl Iterator<Item = &JobId> {
+    /// The jobs that wait for this one.
+    pub(super) fn dependents_of(&self, job: &JobId) -> impl Iterator<Item = &JobId> {
         self.dependents.get(job).into_iter().flatten()
     }
 
@@ -85,43 +86,6 @@
     }
 }
 
-/// The priority and deadline that a job is scheduled by: its own, or those inherited from a dependent.
-struct Urgency {
-    priority: Priority,
-    deadline: Option<Deadline>,
-}
-
-impl Urgency {
-    fn own(job: &Job) -> Urgency {
-        let deadline = job.spec.deadline_s.map(|due_s| Deadline {
-            arrived_at: job.arrived_at,
-            due_s,
-            class: job.spec.class.as_str().into(),
-            remaining_path_s: 0.0,
-        });
-        Urgency {
-            priority: job.spec.priority,
-            deadline,
-        }
-    }
-
-    /// Includes the urgency of a dependent, which itself takes `duration_s`.
-    fn include(&mut self, dependent: &Job, duration_s: f64) {
-        self.priority = self.priority.max(dependent.priority);
-        let Some(inherited) = &dependent.deadline else {
-            return;
-        };
-        let earlier = Deadline {
-            remaining_path_s: inherited.remaining_path_s + duration_s,
-            ..inherited.clone()
-        };
-        let current = self.deadline.as_ref();
-        if current.is_none_or(|current| earlier.latest() < current.latest()) {
-            self.deadline = Some(earlier);
-        }
-    }
-}
-
 impl ClusterState {
     /// Registers the dependencies and the dependents of a new job.
     pub(super) fn register_dependencies(&mut self, id: &JobId, now: Time) {
@@ -152,10 +116,7 @@
         if is_cancelled {
             return self.cancel_dependents(id, now);
         }
-        self.propagate_urgency(id);
-        for name in &spec.waits_on {
-            self.propagate_urgency(&name.as_str().into());
-        }
+        self.add_urgency(id);
     }
 
     /// Clears the dependencies of jobs with recorded placements or completed tasks: those prove that
@@ -176,7 +137,7 @@
         };
         for dependency in std::mem::take(&mut job.unmet_dependencies) {
             self.dependencies.remove(&dependency, id);
-            self.propagate_urgency(&dependency);
+            self.queue_urgency_update(&dependency);
         }
     }
 
@@ -222,50 +183,6 @@
         }
     }
 
-    /// Updates the urgency of a job and of its direct and indirect dependencies, whose deadlines are
-    /// earlier by the time that the job takes.
-    fn propagate_urgency(&mut self, id: &JobId) {
-        let mut changed = vec![id.clone()];
-        while let Some(id) = changed.pop() {
-            if self.update_urgency(&id) {
-                changed.extend(self.jobs[&id].unmet_dependencies.iter().cloned());
-            }
-        }
-    }
-
-    /// Returns whether the urgency has changed.
-    fn update_urgency(&mut self, id: &JobId) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
-        let mut urgency = Urgency::own(job);
-        for dependent in self.dependencies.dependents_of(id) {
-            if let Some(dependent) = self.jobs.get(dependent) {
-                urgency.include(dependent, self.duration_s(dependent));
-            }
-        }
-        let Some(job) = self.jobs.get_mut(id) else {
-            return false;
-        };
-        let changed = job.priority != urgency.priority || job.deadline != urgency.deadline;
-        job.priority = urgency.priority;
-        job.deadline = urgency.deadline;
-        self.needs_scheduling |= changed;
-        changed
-    }
-
-    /// Seconds that a job takes from when it may start, including the fetch of its image, if it gets
-    /// all the resources that it requests.
-    fn duration_s(&self, job: &Job) -> f64 {
-        let rate = self.machine_types.slowest_fetch_gb_per_s();
-        let fetch_s = if rate.is_finite() && rate > 0.0 {
-            job.spec.image_gb / rate
-        } else {
-            0.0
-        };
-        job.predicted_s + fetch_s
-    }
-
     /// Requests the final states of dependencies that are unknown.
     pub(crate) fn request_unknown_final_states(&mut self, now: Time) {
         if !self.leadership.is_leader(now) {
--- a/src/coordination/cluster/mod.rs
+++ b/src/coordination/cluster/mod.rs
@@ -7,7 +7,8 @@
 //!   is gone;
 //! - `allocations`: adding, stopping and releasing allocations;
 //! - `commands`: commands to workers, and the fencing tokens;
-//! - `jobs`, `dependencies`: acceptance, cancellation and completion of jobs;
+//! - `jobs`, `dependencies`, `urgency`: acceptance, cancellation and completion of jobs, and what they
+//!   inherit from their dependents;
 //! - `machine_health`, `inventory`: silent and faulty machines, and the cloud's list of machines;
 //! - `writes`, [`recovery`]: the records in the key-value store;
 //! - [`cancellation_evidence`], [`heartbeat_routing`]: which leases may be renewed, and how followers
@@ -15,8 +16,8 @@
 //! - [`accept_limits`]: how many jobs may be open.
 //!
 //! State with its own invariants is kept behind private fields: `Leadership`, `HeartbeatMonitor`,
-//! `PlacementRecords`, `WriteQueue`, `DependencyGraph`, `Starvation`, `ServiceArrivals`. The work per
-//! event does not grow with the cluster, because pending work is indexed.
+//! `PlacementRecords`, `WriteQueue`, `DependencyGraph`, `UrgencyUpdates`, `Starvation`, `ServiceArrivals`. The
+//! work per event does not grow with the cluster, because pending work is indexed.
 
 pub mod accept_limits;
 mod allocations;
@@ -39,6 +40,7 @@
 pub(crate) mod service_arrivals;
 mod starvation;
 mod summary;
+mod urgency;
 mod wall_clock;
 mod write_queue;
 mod writes;
@@ -62,6 +64,7 @@
 use starvation::Starvation;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use urgency::UrgencyUpdates;
 use wall_clock::WallClock;
 use write_queue::WriteQueue;
 
@@ -85,6 +88,7 @@
     open_job_bytes: u64,
     finished_jobs: FinishedJobs,
     dependencies: DependencyGraph,
+    urgency_updates: UrgencyUpdates,
     service_arrivals: ServiceArrivals,
     predictor: Predictor,
     starvation: Starvation,
@@ -118,6 +122,7 @@
             open_job_bytes: 0,
             finished_jobs: FinishedJobs::default(),
             dependencies: DependencyGraph::default(),
+            urgency_updates: UrgencyUpdates::default(),
             service_arrivals: ServiceArrivals::default(),
             predictor: Predictor::default(),
             starvation: Starvation::default(),
--- a/src/coordination/manager.rs
+++ b/src/coordination/manager.rs
@@ -10,7 +10,7 @@
 use super::cluster::recovery::Records;
 use super::cluster::{ClusterState, CommandOutcome, Effect, HeartbeatOutcome, WriteOutcome};
 use super::scheduling::{run_cycle, SchedulingPlan};
-use super::state::{AllocationId, AllocationState, JobId, MachineName};
+use super::state::{AllocationId, AllocationState, Job, JobId, MachineName};
 use super::Time;
 use crate::protocol::cloud::{ListedMachine, MachineType};
 use crate::protocol::ids::FencingToken;
@@ -92,6 +92,7 @@
     /// commands. Returns whether a scheduling cycle ran.
     pub fn step(&mut self, now: Time) -> bool {
         let mut cycle_ran = false;
+        self.cluster.update_urgencies();
         if self.is_leader(now) {
             if self.timing.maintenance_is_due(now) {
                 self.cluster.maintain(now);
@@ -326,6 +327,17 @@
         self.cluster.status(id)
     }
 
+    /// The job with an id, if it is open or a machine may still have a task of it.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.cluster.job(id)
+    }
+
+    /// How many jobs and dependencies have been visited in this term to find the priorities and deadlines that
+    /// jobs inherit.
+    pub fn urgency_visits(&self) -> u64 {
+        self.cluster.urgency_visits()
+    }
+
     /// The number of jobs.
     pub fn job_count(&self) -> usize {
         self.cluster.job_count()
