--- a/src/coordination/cluster/reconciliation.rs
+++ b/src/coordination/cluster/reconciliation.rs
@@ -7,7 +7,7 @@
 use crate::coordination::Time;
 use crate::protocol::ids::FencingToken;
 use crate::protocol::job::{parse_task, JobSpec};
-use crate::protocol::worker::{Cause, Heartbeat, TaskState, TaskStatus};
+use crate::protocol::worker::{max_task_status_bytes, Cause, Heartbeat, TaskState, TaskStatus};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use tracing::{debug, info, warn};
@@ -56,8 +56,11 @@
     /// Reconciles the allocations of a machine with the newest heartbeat of its worker.
     pub(super) fn reconcile(&mut self, name: &MachineName, heartbeat: &Heartbeat, now: Time) {
         let mut listed = BTreeSet::new();
+        // Tasks without an allocation, such as exited ones that an earlier leader has launched.
+        let mut unallocated_bytes = 0;
         for status in &heartbeat.tasks {
             let Some((job, task)) = parse_task(&status.task) else {
+                unallocated_bytes += max_task_status_bytes(&status.task);
                 continue;
             };
             let id = AllocationId::new(job.into(), task, status.attempt);
@@ -65,10 +68,17 @@
             let machine = self.machines.get(name);
             if !machine.is_some_and(|machine| machine.is_unchanged(&id, status.state)) {
                 self.reconcile_task(name, &id, status, now);
+                let machine = self.machines.get(name);
+                if !machine.is_some_and(|machine| machine.allocations().contains_key(&id)) {
+                    unallocated_bytes += max_task_status_bytes(job);
+                }
             }
             listed.insert(id);
         }
         self.reconcile_missing_tasks(name, &listed, heartbeat.token, now);
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.set_unallocated_status_bytes(unallocated_bytes);
+        }
     }
 
     /// Applies the status of a task in a heartbeat where it differs from the known state.
--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -8,6 +8,7 @@
 };
 use crate::coordination::Time;
 use crate::protocol::cloud::MachineType;
+use crate::protocol::worker::MAX_TASK_STATUS_BYTES;
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 
@@ -19,6 +20,10 @@
 /// `SUSPECT_PENALTY_S` to apply.
 const SUSPECT_JOBS: usize = 2;
 
+/// The share of a machine's heartbeat that only services may use, so that they need not wait until the worker
+/// has forgotten exited tasks of arrays.
+const SERVICES_HEARTBEAT_SHARE: f64 = 0.1;
+
 /// A machine in the cycle's working copy.
 pub(super) struct CycleMachine<'a> {
     pub(super) machine: &'a Machine,
@@ -27,7 +32,7 @@
     pub(super) accepts_tasks: bool,
     /// The free resources, after everything that the cycle has planned.
     pub(super) free: Resources,
-    /// Resources that are reserved for expected replicas.
+    /// Resources that are reserved for expected replicas, and bytes of the heartbeat for any services.
     pub(super) reserved: Resources,
     /// The position in the order in which machines are filled, from 0 to 1. Machines at the end of the
     /// order become empty first and can be returned.
@@ -85,12 +90,13 @@
     pub(super) fn new(cluster: &'a ClusterState, now: Time) -> SchedulingCycle<'a> {
         let with_type = |machine: &'a Machine| {
             let machine_type = cluster.machine_types().get(&machine.machine_type);
+            let heartbeat_bytes = SERVICES_HEARTBEAT_SHARE * MAX_TASK_STATUS_BYTES as f64;
             CycleMachine {
                 machine,
                 machine_type,
                 accepts_tasks: machine_type.is_some() && cluster.accepts_tasks(machine, now),
                 free: cluster.free_resources(machine),
-                reserved: Resources::default(),
+                reserved: Resources::of_heartbeat(heartbeat_bytes),
                 fill_rank: 0.0,
             }
         };
--- a/src/coordination/scheduling/placement/services.rs
+++ b/src/coordination/scheduling/placement/services.rs
@@ -120,7 +120,7 @@
     fn preempt(&mut self, i: usize, victim: AllocationId) {
         let machine = self.machines[i].machine;
         let request = machine.allocations()[&victim].profile.request;
-        self.machines[i].free.add(&request);
+        self.machines[i].free.add(&request.freed_by_exit());
         self.preempted.insert(victim.clone());
         self.plan.preemptions.push(Preemption {
             machine: machine.name.clone(),
@@ -175,7 +175,7 @@
         // The most recently placed tasks come first: they lose the least work.
         lower_priority.sort_by(|a, b| b.1.planned_at.total_cmp(&a.1.planned_at));
         for (id, allocation) in lower_priority {
-            free.add(&allocation.profile.request);
+            free.add(&allocation.profile.request.freed_by_exit());
             victims.push(id.clone());
             if free.fits(request) {
                 return Some(victims);
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -70,6 +70,8 @@
     /// Whether the cloud lists the machine as failed.
     pub listed_failed: bool,
     allocations: BTreeMap<AllocationId, Allocation>,
+    /// Bytes of the newest heartbeat for tasks without an allocation.
+    unallocated_status_bytes: usize,
     /// The cached result of `used`, cleared when an allocation changes.
     used: Cell<Option<Resources>>,
     services: Cell<usize>,
@@ -102,6 +104,7 @@
             return_in_flight: false,
             listed_failed: false,
             allocations: BTreeMap::new(),
+            unallocated_status_bytes: 0,
             used: Cell::new(None),
             services: Cell::new(0),
         }
@@ -158,8 +161,15 @@
         self.allocations.retain(keep);
     }
 
+    /// Sets the bytes of the newest heartbeat for tasks without an allocation.
+    pub fn set_unallocated_status_bytes(&mut self, bytes: usize) {
+        self.used.set(None);
+        self.unallocated_status_bytes = bytes;
+    }
+
     /// The resources of all tasks that are or may be on the machine, except those that a stop in the next
-    /// command batch frees immediately.
+    /// command batch frees immediately. Tasks that have exited, and those without an allocation, take only
+    /// bytes of the heartbeat.
     pub fn used(&self) -> Resources {
         if let Some(used) = self.used.get() {
             return used;
@@ -168,10 +178,13 @@
             .live_allocations()
             .filter(|(_, a)| a.profile.is_service());
         self.services.set(services.count());
-        let mut used = Resources::default();
-        for (_, allocation) in self.live_allocations() {
-            if !allocation.frees_at_once() {
-                used.add(&allocation.profile.request);
+        let mut used = Resources::of_heartbeat(self.unallocated_status_bytes as f64);
+        for allocation in self.allocations.values() {
+            let request = &allocation.profile.request;
+            if allocation.is_live() && !allocation.frees_at_once() {
+                used.add(request);
+            } else {
+                used.add(&request.after_exit());
             }
         }
         self.used.set(Some(used));
--- a/src/coordination/state/resources.rs
+++ b/src/coordination/state/resources.rs
@@ -1,7 +1,8 @@
-//! Resource vectors: CPUs, GPUs and memory.
+//! Resource vectors: CPUs, GPUs, memory and the length of the heartbeat.
 
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::JobSpec;
+use crate::protocol::worker::{max_task_status_bytes, MAX_TASK_STATUS_BYTES};
 
 /// The resources that a task requests, or that a machine has.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -12,6 +13,8 @@
     pub gpus: f64,
     /// Memory in gigabytes.
     pub memory_gb: f64,
+    /// Bytes of the machine's heartbeat, which lists each task from its launch until the worker forgets it.
+    pub heartbeat_bytes: f64,
 }
 
 /// Tolerance for rounding errors in sums of amounts, which are decimal fractions.
@@ -24,6 +27,28 @@
             cpus: spec.cpus,
             gpus: spec.gpus,
             memory_gb: spec.memory_gb,
+            heartbeat_bytes: max_task_status_bytes(&spec.id) as f64,
+        }
+    }
+
+    /// Only bytes of the heartbeat.
+    pub fn of_heartbeat(bytes: f64) -> Resources {
+        Resources {
+            heartbeat_bytes: bytes,
+            ..Resources::default()
+        }
+    }
+
+    /// What remains of a task's request once the task has exited, until its worker forgets it.
+    pub fn after_exit(&self) -> Resources {
+        Resources::of_heartbeat(self.heartbeat_bytes)
+    }
+
+    /// What a task frees when it exits.
+    pub fn freed_by_exit(&self) -> Resources {
+        Resources {
+            heartbeat_bytes: 0.0,
+            ..*self
         }
     }
 
@@ -33,6 +58,7 @@
             cpus: machine_type.cpus,
             gpus: machine_type.gpus,
             memory_gb: machine_type.memory_gb,
+            heartbeat_bytes: MAX_TASK_STATUS_BYTES as f64,
         }
     }
 
@@ -41,6 +67,7 @@
         self.cpus + ROUNDING_TOLERANCE >= request.cpus
             && self.gpus + ROUNDING_TOLERANCE >= request.gpus
             && self.memory_gb + ROUNDING_TOLERANCE >= request.memory_gb
+            && self.heartbeat_bytes >= request.heartbeat_bytes
     }
 
     /// Adds `other` to these resources.
@@ -48,6 +75,7 @@
         self.cpus += other.cpus;
         self.gpus += other.gpus;
         self.memory_gb += other.memory_gb;
+        self.heartbeat_bytes += other.heartbeat_bytes;
     }
 
     /// Subtracts `other` from these resources.
@@ -55,6 +83,7 @@
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
         self.memory_gb -= other.memory_gb;
+        self.heartbeat_bytes -= other.heartbeat_bytes;
     }
 
     /// How many tasks with this request fit into these resources.
@@ -68,6 +97,7 @@
         };
         ratio(self.cpus, request.cpus)
             .min(ratio(self.gpus, request.gpus))
-            .min(ratio(self.memory_gb, request.memory_gb)) as u32
+            .min(ratio(self.memory_gb, request.memory_gb))
+            .min(ratio(self.heartbeat_bytes, request.heartbeat_bytes)) as u32
     }
 }
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -1,8 +1,24 @@
 //! Messages between workers and controllers: heartbeats, their responses, and direct commands.
 
 use super::ids::{FencingToken, HeartbeatSequence, Incarnation};
+use super::BODY_LIMIT;
 use serde::{Deserialize, Serialize};
 
+/// Bytes of a heartbeat besides the list of tasks, at most.
+const HEARTBEAT_HEADER_BYTES: usize = 1024;
+/// The bytes that the statuses of all tasks on a machine may take in its heartbeat. A worker cannot send a
+/// longer heartbeat.
+pub const MAX_TASK_STATUS_BYTES: usize = BODY_LIMIT - HEARTBEAT_HEADER_BYTES;
+
+/// The bytes of a task's longest status besides the id of its job: the JSON text with a number of five digits,
+/// an attempt of 20 digits and the longest cause, and a space for each separator.
+const STATUS_BYTES_WITHOUT_JOB: usize = 110;
+
+/// The bytes that the status of one of a job's tasks takes in a heartbeat, at most.
+pub fn max_task_status_bytes(job: &str) -> usize {
+    job.len() + STATUS_BYTES_WITHOUT_JOB
+}
+
 /// The state of a task on its machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -56,6 +56,22 @@
     rents
 }
 
+/// Guards against replicas that wait for ever, or end their machine's lease, where only the length of a heartbeat
+/// limits how many run on one machine.
+#[test]
+fn replicas_beyond_the_length_of_a_heartbeat_rent_machines() {
+    let count = |replicas| {
+        let tiny = [("cpus", json!(0.0)), ("mem_gb", json!(0.0))];
+        let rents = rented(&mut one_machine(), "standing", replicas, &tiny);
+        rents.iter().map(|rent| rent.count).sum::<u32>()
+    };
+    // Machines that are rented for the replicas to be expected.
+    let spare = count(4);
+    for (replicas, machines) in [(400, 0), (1_250, 2), (3_000, 5)] {
+        assert_eq!(count(replicas) - spare, machines, "{replicas} replicas");
+    }
+}
+
 #[test]
 fn job_that_fits_the_present_machine_rents_none() {
     let rents = rented(&mut one_machine(), "sweep", 1, &[]);
