--- a/src/coordination/cluster/commands.rs
+++ b/src/coordination/cluster/commands.rs
@@ -3,17 +3,22 @@
 use super::writes::completions::is_completion_unrecorded;
 use super::{ClusterState, CommandOutcome, Effect, MAX_COMMANDS};
 use crate::coordination::state::{
-    Allocation, AllocationId, AllocationState, MachineName, MachinePhase,
+    Allocation, AllocationId, AllocationState, Machine, MachineName, MachinePhase,
 };
 use crate::coordination::Time;
 use crate::protocol::ids::{FencingToken, HeartbeatSequence};
-use crate::protocol::worker::{Cause, Command, CommandBatch, Heartbeat};
+use crate::protocol::worker::{Cause, Command, CommandBatch, Heartbeat, MAX_TASK_STATUS_BYTES};
 use tracing::{debug, info};
 
 /// Average number of exited tasks per machine that may wait to be forgotten before a new token is
 /// drawn.
 const MAX_EXITED_PER_MACHINE: usize = 4;
 
+/// The share of a machine's heartbeat that tasks of arrays and gangs may take whose launches were sent
+/// directly. Once they have exited, they can be forgotten only under a higher token; other tasks are launched
+/// by responses to heartbeats and can be forgotten in the next response.
+const DIRECT_LAUNCHES_SHARE: f64 = 0.5;
+
 /// How commands reach a worker.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum CommandRoute {
@@ -32,13 +37,15 @@
     /// Whether tasks may be started. A leader whose lease may have expired keeps tasks alive, but
     /// starts none.
     may_start: bool,
+    /// The bytes of the heartbeat that further tasks may take whose launches are sent directly.
+    direct_launch_bytes: f64,
 }
 
 impl CommandContext {
     /// The command that an allocation needs now, marked in the allocation as sent. An exited task is
     /// forgotten unless its completion `is_unrecorded`.
     fn command_for(
-        &self,
+        &mut self,
         id: &AllocationId,
         allocation: &mut Allocation,
         is_unrecorded: impl Fn(&AllocationId) -> bool,
@@ -80,7 +87,7 @@
         })
     }
 
-    fn start(&self, id: &AllocationId, allocation: &mut Allocation) -> Option<Command> {
+    fn start(&mut self, id: &AllocationId, allocation: &mut Allocation) -> Option<Command> {
         let is_launching = allocation.state == AllocationState::Launching;
         if !is_launching || allocation.is_recovered || !self.may_start {
             return None;
@@ -90,7 +97,15 @@
                 allocation.launch_response_sequence = Some(sequence);
             }
             CommandRoute::Direct if allocation.launch_was_sent() => return None,
-            CommandRoute::Direct => allocation.direct_launch_token = Some(self.token),
+            CommandRoute::Direct => {
+                let profile = &allocation.profile;
+                let bytes = profile.request.heartbeat_bytes;
+                if bytes > self.direct_launch_bytes && !profile.is_service() {
+                    return None;
+                }
+                self.direct_launch_bytes -= bytes;
+                allocation.direct_launch_token = Some(self.token);
+            }
         }
         Some(Command::Start {
             task: id.task_name(),
@@ -99,6 +114,20 @@
     }
 }
 
+/// The bytes of a machine's heartbeat that further tasks may take whose launches are sent directly.
+fn free_direct_launch_bytes(machine: &Machine) -> f64 {
+    let acknowledged_token = machine.worker.acknowledged_token();
+    let allocations = machine.allocations().values();
+    let unforgettable = allocations.filter(|allocation| {
+        let token = allocation.direct_launch_token;
+        token.is_some_and(|token| token >= acknowledged_token)
+    });
+    let taken: f64 = unforgettable
+        .map(|allocation| allocation.profile.request.heartbeat_bytes)
+        .sum();
+    DIRECT_LAUNCHES_SHARE * MAX_TASK_STATUS_BYTES as f64 - taken
+}
+
 /// Allocations whose directly sent launch may still arrive, which blocks releasing or forgetting them.
 #[derive(Default)]
 struct BlockingLaunches {
@@ -121,11 +150,12 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return Vec::new();
         };
-        let context = CommandContext {
+        let mut context = CommandContext {
             route: response_to.map_or(CommandRoute::Direct, CommandRoute::Response),
             token: self.leadership.token(),
             acknowledged_token: machine.worker.acknowledged_token(),
             may_start: self.leadership.holds_lease(now),
+            direct_launch_bytes: free_direct_launch_bytes(machine),
         };
         let (jobs, shards) = (&self.jobs, self.shards);
         let is_unrecorded =
--- a/src/coordination/cluster/write_queue.rs
+++ b/src/coordination/cluster/write_queue.rs
@@ -163,6 +163,11 @@
         self.outdated_completions.push_back(outdated);
     }
 
+    /// Adds a completion record that is due now, before the others.
+    pub(super) fn push_due(&mut self, outdated: OutdatedCompletions) {
+        self.outdated_completions.push_front(outdated);
+    }
+
     /// Takes the oldest completion record if it has been outdated for `max_age_s`.
     pub(super) fn pop_outdated(
         &mut self,
--- a/src/coordination/cluster/writes/completions.rs
+++ b/src/coordination/cluster/writes/completions.rs
@@ -10,6 +10,9 @@
 use crate::storage::records::{completion_key, CompletionShards, StoredCompletions};
 use std::collections::BTreeMap;
 
+/// Completed tasks of a record that are written without waiting for the record's age: their workers list them in
+/// heartbeats of limited length until then.
+const MAX_UNRECORDED_TASKS: usize = 128;
 /// How many times longer a record may be outdated while the rate limit is scarce.
 const SCARCE_AGE_FACTOR: f64 = 2.0;
 /// Bytes of a transaction that may be filled, of the 64 KiB allowed.
@@ -42,8 +45,7 @@
             let job = self.jobs.get_mut(&id.job);
             let record = job.and_then(|job| job.completion_records.get_mut(&id.shard));
             if let Some(record) = record {
-                record.in_flight = true;
-                record.dirty_since = None;
+                record.write_sent();
             }
         }
         let write = WriteInFlight {
@@ -117,14 +119,33 @@
         };
         let shard = task as usize / self.shards.tasks_per_shard;
         let record = job.completion_records.entry(shard).or_default();
-        if record.dirty_since.is_none() {
-            record.dirty_since = Some(now);
-            let record = CompletionRecordId {
-                job: id.clone(),
-                shard,
-            };
-            self.writes
-                .push_outdated(OutdatedCompletions { since: now, record });
+        let unrecorded = record.add_unrecorded(task);
+        self.queue_completion_record(id, shard, unrecorded, now);
+    }
+
+    /// Queues a completion record with this number of unrecorded tasks for a write.
+    fn queue_completion_record(&mut self, id: &JobId, shard: usize, unrecorded: usize, now: Time) {
+        let job = self.jobs.get_mut(id);
+        let record = job.and_then(|job| job.completion_records.get_mut(&shard));
+        let Some(record) = record else {
+            return;
+        };
+        let is_due_now = unrecorded >= MAX_UNRECORDED_TASKS;
+        let since = if is_due_now { f64::NEG_INFINITY } else { now };
+        let is_queued = record.dirty_since.is_some_and(|queued| queued <= since);
+        if is_queued {
+            return;
+        }
+        record.dirty_since = Some(since);
+        let record = CompletionRecordId {
+            job: id.clone(),
+            shard,
+        };
+        let outdated = OutdatedCompletions { since, record };
+        if is_due_now {
+            self.writes.push_due(outdated);
+        } else {
+            self.writes.push_outdated(outdated);
         }
     }
 
@@ -139,13 +160,8 @@
             return;
         };
         let record = job.completion_records.entry(id.shard).or_default();
-        record.in_flight = false;
-        match applied {
-            Some(revision) => record.version = revision,
-            None => {
-                let first_task = (id.shard * self.shards.tasks_per_shard) as u32;
-                self.mark_completion_outdated(&id.job, first_task, now);
-            }
+        if record.write_finished(applied) {
+            self.queue_completion_record(&id.job, id.shard, 0, now);
         }
     }
 }
@@ -172,6 +188,6 @@
         let record = job
             .completion_records
             .get(&(task as usize / shards.tasks_per_shard));
-        !job.final_state_recorded && record.is_some_and(|r| r.dirty_since.is_some() || r.in_flight)
+        !job.final_state_recorded && record.is_some_and(|record| record.is_unrecorded(task))
     })
 }
--- a/tests/heartbeat_length.rs
+++ b/tests/heartbeat_length.rs
@@ -29,6 +29,9 @@
 const STEP_S: f64 = 0.25;
 /// Seconds within which some waiting task completes or starts while a machine has the resources.
 const MAX_WAIT_S: f64 = 90.0;
+/// Heartbeats at the least interval that a task takes of its machine besides its run time: the ones that report
+/// its exit, carry the command to forget it, lack it, carry the next launch and show the next task.
+const MAX_FORGET_REPORTS: f64 = 5.0;
 /// CPUs of a machine.
 const CPUS: f64 = 64.0;
 
@@ -410,3 +413,22 @@
         prop_assert!(text.len() + 1 + spaces <= max_task_status_bytes(&id), "{text}");
     }
 }
+
+/// Guards against short tasks that wait for half a lease once the heartbeat of their machine is full: exited tasks
+/// were kept there until the next token and the next write of their job's completed tasks.
+#[test]
+fn short_tasks_are_not_held_back_for_half_a_lease() {
+    for (run_s, cpus) in [(0.2, 0.25), (0.5, 1.0), (1.0, 0.25), (2.0, 0.5)] {
+        let job = JobPlan {
+            id: "req-000001".into(),
+            is_service: false,
+            tasks: 5_000,
+            cpus,
+            run_s,
+        };
+        let rounds = f64::from(job.tasks) * cpus / CPUS;
+        let took_s = run(1, &[job], f64::INFINITY);
+        let limit_s = rounds * (run_s + MAX_FORGET_REPORTS * MIN_REPORT_S);
+        assert!(took_s < limit_s, "{took_s} s for tasks of {run_s} s");
+    }
+}
