--- a/src/coordination/autoscaling/demand/batches.rs
+++ b/src/coordination/autoscaling/demand/batches.rs
@@ -11,6 +11,9 @@
 /// The time horizon of a job without deadline and objective, as a multiple of its predicted run time.
 const NOT_DUE_FACTOR: f64 = 2.0;
 
+/// The least CPUs of a task for which a shortage of CPUs is expressed in tasks.
+const MIN_TASK_CPUS: f64 = 1e-3;
+
 /// Jobs that may use only some machines, grouped by their choice of machines.
 #[derive(Default)]
 struct RestrictedGroups<'a> {
@@ -169,9 +172,15 @@
             }
         }
         let (cpus, job) = largest?;
-        Some(Demand {
+        let mut count = (cpus / job.spec.cpus.max(MIN_TASK_CPUS)).ceil() as u32;
+        if job.is_array() {
+            // More tasks could not be placed on the machines.
+            let placeable = u32::try_from(self.cluster.free_array_allocations());
+            count = count.min(placeable.unwrap_or(u32::MAX));
+        }
+        (count > 0).then(|| Demand {
             spec: job.spec.clone(),
-            count: (cpus / job.spec.cpus.max(1e-3)).ceil() as u32,
+            count,
             spot: self.may_use_spot(job),
         })
     }
--- a/src/coordination/cluster/accept_limits.rs
+++ b/src/coordination/cluster/accept_limits.rs
@@ -59,7 +59,7 @@
         })
     }
 
-    /// The next limit of a controller, in bytes, while the open jobs take `open_bytes`; `None` until it has
+    /// The next limit of a controller, in bytes, while open jobs and allocations take `open_bytes`; `None` until it has
     /// reported in this term and the leader has read the records since. Until the controller reports the
     /// limit, larger ones before count too.
     pub fn next_limit(&mut self, controller: &str, open_bytes: u64) -> Option<u64> {
--- a/src/coordination/cluster/mod.rs
+++ b/src/coordination/cluster/mod.rs
@@ -13,13 +13,14 @@
 //! - `writes`, [`recovery`]: the records in the key-value store;
 //! - [`cancellation_evidence`], [`heartbeat_routing`]: which leases may be renewed, and how followers
 //!   route heartbeats;
-//! - [`accept_limits`]: how many jobs may be open.
+//! - [`accept_limits`], `allocation_limit`: how many jobs may be open, and how many tasks placed.
 //!
 //! State with its own invariants is kept behind private fields: `Leadership`, `HeartbeatMonitor`,
 //! `PlacementRecords`, `WriteQueue`, `DependencyGraph`, `UrgencyUpdates`, `Starvation`, `ServiceArrivals`. The
 //! work per event does not grow with the cluster, because pending work is indexed.
 
 pub mod accept_limits;
+pub(crate) mod allocation_limit;
 mod allocations;
 pub mod cancellation_evidence;
 mod commands;
--- a/src/coordination/manager.rs
+++ b/src/coordination/manager.rs
@@ -343,6 +343,11 @@
         self.cluster.job_count()
     }
 
+    /// What counts against the memory for open jobs, in bytes.
+    pub fn accept_limit_usage_bytes(&self) -> u64 {
+        self.cluster.accept_limit_usage_bytes()
+    }
+
     /// An estimate of the memory that all known jobs take, in bytes.
     pub fn open_job_bytes(&self) -> u64 {
         self.cluster.open_job_bytes()
--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -2,6 +2,7 @@
 //! applied.
 
 use super::plan::{PlannedAllocation, SchedulingPlan};
+use crate::coordination::cluster::allocation_limit::may_hold_more;
 use crate::coordination::cluster::ClusterState;
 use crate::coordination::state::{
     may_use, AllocationId, Job, JobId, Machine, QuotaUsageByTeam, Resources, ZoneName,
@@ -20,9 +21,9 @@
 /// `SUSPECT_PENALTY_S` to apply.
 const SUSPECT_JOBS: usize = 2;
 
-/// The share of a machine's heartbeat that only services may use, so that they need not wait until the worker
-/// has forgotten exited tasks of arrays.
-const SERVICES_HEARTBEAT_SHARE: f64 = 0.1;
+/// The share of a machine's heartbeat that arrays leave to services and gangs, which then need not wait until the
+/// worker has forgotten exited tasks of arrays.
+const HEARTBEAT_SHARE_LEFT_BY_ARRAYS: f64 = 0.1;
 
 /// A machine in the cycle's working copy.
 pub(super) struct CycleMachine<'a> {
@@ -32,7 +33,7 @@
     pub(super) accepts_tasks: bool,
     /// The free resources, after everything that the cycle has planned.
     pub(super) free: Resources,
-    /// Resources that are reserved for expected replicas, and bytes of the heartbeat for any services.
+    /// Resources that are reserved for expected replicas.
     pub(super) reserved: Resources,
     /// The position in the order in which machines are filled, from 0 to 1. Machines at the end of the
     /// order become empty first and can be returned.
@@ -47,6 +48,14 @@
         free
     }
 
+    /// The free resources that arrays may use.
+    pub(super) fn free_for_arrays(&self) -> Resources {
+        let left_bytes = HEARTBEAT_SHARE_LEFT_BY_ARRAYS * MAX_TASK_STATUS_BYTES as f64;
+        let mut free = self.free_for_batches();
+        free.subtract(&Resources::of_heartbeat(left_bytes));
+        free
+    }
+
     /// The share of the machine's CPUs that is free.
     pub(super) fn free_share(&self) -> f64 {
         let total = self.machine_type.map_or(1.0, |t| t.cpus);
@@ -82,6 +91,8 @@
     /// How many tasks of each job the cycle has placed.
     pub(super) planned: HashMap<JobId, usize>,
     pub(super) plan: SchedulingPlan,
+    /// How many further tasks of arrays may be placed.
+    free_array_allocations: u64,
     examined: Cell<u64>,
 }
 
@@ -90,13 +101,12 @@
     pub(super) fn new(cluster: &'a ClusterState, now: Time) -> SchedulingCycle<'a> {
         let with_type = |machine: &'a Machine| {
             let machine_type = cluster.machine_types().get(&machine.machine_type);
-            let heartbeat_bytes = SERVICES_HEARTBEAT_SHARE * MAX_TASK_STATUS_BYTES as f64;
             CycleMachine {
                 machine,
                 machine_type,
                 accepts_tasks: machine_type.is_some() && cluster.accepts_tasks(machine, now),
                 free: cluster.free_resources(machine),
-                reserved: Resources::of_heartbeat(heartbeat_bytes),
+                reserved: Resources::default(),
                 fill_rank: 0.0,
             }
         };
@@ -113,6 +123,7 @@
             rejected_requests: Vec::new(),
             planned: HashMap::new(),
             plan: SchedulingPlan::default(),
+            free_array_allocations: cluster.free_array_allocations(),
             examined,
         }
     }
@@ -207,6 +218,21 @@
         job.spec.image_gb / rate.max(1e-3)
     }
 
+    /// Whether the limit on all allocations of arrays allows the job another one.
+    pub(super) fn within_allocation_limit(&self, job: &Job) -> bool {
+        let planned = self.planned.get(&job.id).copied().unwrap_or(0);
+        let held = u64::from(job.allocated()) + planned as u64;
+        may_hold_more(held, self.free_array_allocations)
+    }
+
+    /// Whether the job, which has `held` allocations on a machine, leaves enough of its heartbeat for others with
+    /// another one.
+    pub(super) fn within_heartbeat_share(&self, job: &Job, i: usize, held: usize) -> bool {
+        let free = self.machines[i].free_for_arrays().heartbeat_bytes;
+        let slots = free / job.request().heartbeat_bytes;
+        may_hold_more(held as u64, slots as u64)
+    }
+
     /// Adds the placement of a task on a machine to the plan.
     pub(super) fn allocate(&mut self, job: &Job, task: u32, i: usize) {
         let request = job.request();
@@ -219,6 +245,9 @@
             *tasks_by_zone.entry(machine.zone.clone()).or_default() += 1;
         }
         *self.planned.entry(job.id.clone()).or_default() += 1;
+        if job.is_array() {
+            self.free_array_allocations = self.free_array_allocations.saturating_sub(1);
+        }
         self.plan.allocations.push(PlannedAllocation {
             job: job.id.clone(),
             task,
--- a/src/coordination/scheduling/placement/arrays.rs
+++ b/src/coordination/scheduling/placement/arrays.rs
@@ -72,8 +72,9 @@
         &mut self,
         job: &Job,
     ) -> Result<MachinesByCost, Blocked> {
-        // A job at its team's limit waits for the quota and must not get the reservation.
-        if !self.within_quota(job, 1) {
+        // A job at its team's limit waits for the quota and must not get the reservation. The same holds for a
+        // job that holds its share of all allocations.
+        if !self.within_quota(job, 1) || !self.within_allocation_limit(job) {
             return Err(Blocked::Policy);
         }
         let request = job.request();
@@ -89,7 +90,7 @@
         self.count_examined(allowed.len());
         let with_capacity = allowed
             .into_iter()
-            .filter(|i| self.machines[*i].free_for_batches().fits(&request));
+            .filter(|i| self.machines[*i].free_for_arrays().fits(&request));
         let candidates = with_capacity.map(|i| {
             let fill_order_s = FILL_ORDER_PENALTY_S * self.machines[i].fill_rank;
             Reverse(ArrayCandidate {
@@ -114,7 +115,7 @@
         mut placement: ArrayPlacement,
     ) -> Result<(), Blocked> {
         let request = job.request();
-        let mut is_zone_blocked = false;
+        let mut is_blocked_by_policy = false;
         let mut is_blocked_by_reservation = false;
         // Tasks of the job that this cycle has already placed are skipped.
         let planned = self.planned.get(&job.id).copied().unwrap_or(0);
@@ -125,16 +126,19 @@
                 break;
             };
             let end = self.now + self.fetch_s(job, i) + job.predicted_s;
-            while self.machines[i].free_for_batches().fits(&request) {
+            let mut held = self.machines[i].machine.live_allocations_of(&job.id);
+            while self.machines[i].free_for_arrays().fits(&request) {
                 let Some(task) = tasks.peek().copied() else {
                     break;
                 };
-                if !self.within_quota(job, 1) {
+                if !self.within_quota(job, 1) || !self.within_allocation_limit(job) {
                     return Err(Blocked::Policy);
                 }
                 let machine = self.machines[i].machine;
-                if !self.zone_allowed(job, &machine.zone) {
-                    is_zone_blocked = true;
+                if !self.zone_allowed(job, &machine.zone)
+                    || !self.within_heartbeat_share(job, i, held)
+                {
+                    is_blocked_by_policy = true;
                     break;
                 }
                 let head = placement.head.as_deref();
@@ -147,6 +151,7 @@
                     head.admit(i, &request, end);
                 }
                 tasks.next();
+                held += 1;
                 self.allocate(job, task, i);
             }
         }
@@ -156,7 +161,7 @@
         }
         if !waits {
             Ok(())
-        } else if is_zone_blocked || !self.within_quota(job, 1) {
+        } else if is_blocked_by_policy || !self.within_quota(job, 1) {
             Err(Blocked::Policy)
         } else {
             Err(Blocked::Capacity)
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -293,6 +293,11 @@
         self.spec.kind == JobKind::Gang
     }
 
+    /// Whether the job is an array, whose tasks are independent.
+    pub fn is_array(&self) -> bool {
+        self.spec.kind == JobKind::Array
+    }
+
     /// How many tasks of the job may be in one zone.
     pub fn max_per_zone(&self) -> u32 {
         if self.spec.spread {
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -197,6 +197,22 @@
         self.services.get() > 0
     }
 
+    /// How many allocations of arrays and gangs are on the machine, including those whose task has exited.
+    pub fn batch_allocations(&self) -> usize {
+        self.used();
+        self.allocations.len() - self.services.get()
+    }
+
+    /// How many allocations of a job on the machine may still have their task there.
+    pub fn live_allocations_of(&self, job: &JobId) -> usize {
+        let first = AllocationId::new(job.clone(), 0, 0);
+        let following = self.allocations.range(first..);
+        let of_job = following.take_while(|(id, _)| id.job == *job);
+        of_job
+            .filter(|(_, allocation)| allocation.is_live())
+            .count()
+    }
+
     /// Whether a heartbeat that lists a task in this state changes nothing about its allocation.
     pub fn is_unchanged(&self, id: &AllocationId, state: TaskState) -> bool {
         self.allocations.get(id).is_some_and(|allocation| {
--- a/src/coordination/state/mod.rs
+++ b/src/coordination/state/mod.rs
@@ -23,7 +23,7 @@
 pub use ids::{ClassName, JobId, MachineName, MachineTypeName, ZoneName};
 pub use job::Job;
 pub(crate) use job::MAX_WAIT_WITH_CAPACITY_S;
-pub use job_memory::leader_memory_bytes;
+pub use job_memory::{leader_memory_bytes, ALLOCATION_BYTES};
 pub use machine::{FailureHistory, Machine, MachinePhase};
 pub use machine_types::MachineTypes;
 pub use placement_record::{Placement, PlacementRecord, WriteUrgency};
--- a/src/coordination/state/task_allocations.rs
+++ b/src/coordination/state/task_allocations.rs
@@ -2,6 +2,7 @@
 
 use super::{AllocationRef, MachineName};
 use fixedbitset::FixedBitSet;
+use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 
 /// The tasks of a job. The memory follows the tasks that have been placed or have completed, not the size
@@ -62,7 +63,13 @@
         if !self.contains(task) {
             return false;
         }
-        self.allocations.entry(task).or_default().push(allocation);
+        match self.allocations.entry(task) {
+            // Most tasks have one allocation; pushing to an empty vector would reserve the memory for four.
+            Entry::Vacant(entry) => {
+                entry.insert(vec![allocation]);
+            }
+            Entry::Occupied(mut entry) => entry.get_mut().push(allocation),
+        }
         insert(&mut self.occupied, task);
         true
     }
--- a/src/service/controller/cancellations.rs
+++ b/src/service/controller/cancellations.rs
@@ -101,8 +101,8 @@
 
     /// The next limit of a controller for accepted jobs, if it has reported in this term.
     fn next_accept_limit(&mut self, controller: &str) -> Option<AcceptLimit> {
-        let open_bytes = self.role.manager()?.open_job_bytes();
-        let bytes = self.accept_limits.next_limit(controller, open_bytes)?;
+        let used_bytes = self.role.manager()?.accept_limit_usage_bytes();
+        let bytes = self.accept_limits.next_limit(controller, used_bytes)?;
         let token = self.role.token();
         Some(AcceptLimit { token, bytes })
     }
