--- a/src/coordination/scheduling/cycle.rs
+++ b/src/coordination/scheduling/cycle.rs
@@ -25,6 +25,13 @@
 /// worker has forgotten exited tasks of arrays.
 const HEARTBEAT_SHARE_LEFT_BY_ARRAYS: f64 = 0.1;
 
+/// The time that a task stays in the heartbeat after its exit counts on machines with less than this share of their
+/// heartbeat free.
+const AMPLE_HEARTBEAT_SHARE: f64 = 0.9;
+/// How long a task may stay in the heartbeat after its exit, as a share of a worker's lease: until its completion is
+/// written, or the next fencing token is drawn.
+const MAX_FORGET_LEASES: f64 = 0.5;
+
 /// A machine in the cycle's working copy.
 pub(super) struct CycleMachine<'a> {
     pub(super) machine: &'a Machine,
@@ -233,6 +240,15 @@
         may_hold_more(held as u64, slots as u64)
     }
 
+    /// Seconds after a task's exit until its bytes of the machine's heartbeat are free; 0 where few are in use.
+    pub(super) fn forget_s(&self, i: usize) -> f64 {
+        let free_bytes = self.machines[i].free.heartbeat_bytes;
+        if free_bytes >= AMPLE_HEARTBEAT_SHARE * MAX_TASK_STATUS_BYTES as f64 {
+            return 0.0;
+        }
+        MAX_FORGET_LEASES * self.cluster.settings().cluster.workers.lease_s
+    }
+
     /// Adds the placement of a task on a machine to the plan.
     pub(super) fn allocate(&mut self, job: &Job, task: u32, i: usize) {
         let request = job.request();
--- a/src/coordination/scheduling/head_reservation.rs
+++ b/src/coordination/scheduling/head_reservation.rs
@@ -2,7 +2,8 @@
 
 use super::backfill::{reserve, reserve_gang, FutureRelease, FutureResources, Reservation};
 use super::cycle::SchedulingCycle;
-use crate::coordination::state::{Job, ZoneName};
+use crate::coordination::state::{Job, Machine, ZoneName};
+use crate::coordination::Time;
 use std::collections::BTreeMap;
 use tracing::debug;
 
@@ -78,13 +79,43 @@
 fn future_resources(cycle: &SchedulingCycle, i: usize) -> FutureResources {
     let machine = cycle.machines[i].machine;
     cycle.count_examined(machine.allocations().len());
-    let releases = machine.live_allocations().map(|(_, a)| FutureRelease {
-        at: a.predicted_end(cycle.now),
-        freed: a.profile.request,
-    });
+    let forget_s = cycle.forget_s(i);
+    let releases: Vec<FutureRelease> = if forget_s > 0.0 {
+        releases_with_forgetting(machine, cycle.now, forget_s)
+    } else {
+        let live = machine.live_allocations();
+        let releases = live.map(|(_, a)| FutureRelease {
+            at: a.predicted_end(cycle.now),
+            freed: a.profile.request,
+        });
+        releases.filter(|r| r.at.is_finite()).collect()
+    };
     FutureResources {
         machine: i,
         free: cycle.machines[i].free_for_batches(),
-        releases: releases.filter(|r| r.at.is_finite()).collect(),
+        releases,
+    }
+}
+
+/// What the tasks of a machine free at their predicted ends, and what they free when the worker has forgotten
+/// them, `forget_s` later.
+fn releases_with_forgetting(machine: &Machine, now: Time, forget_s: f64) -> Vec<FutureRelease> {
+    let mut releases = Vec::new();
+    for allocation in machine.allocations().values() {
+        let request = &allocation.profile.request;
+        let mut end = now;
+        if allocation.is_live() {
+            end = allocation.predicted_end(now);
+            releases.push(FutureRelease {
+                at: end,
+                freed: request.freed_by_exit(),
+            });
+        }
+        releases.push(FutureRelease {
+            at: end + forget_s,
+            freed: request.after_exit(),
+        });
     }
+    releases.retain(|release| release.at.is_finite());
+    releases
 }
--- a/src/coordination/scheduling/placement/arrays.rs
+++ b/src/coordination/scheduling/placement/arrays.rs
@@ -125,7 +125,7 @@
             let Some(i) = placement.machines.next() else {
                 break;
             };
-            let end = self.now + self.fetch_s(job, i) + job.predicted_s;
+            let end = self.now + self.fetch_s(job, i) + job.predicted_s + self.forget_s(i);
             let mut held = self.machines[i].machine.live_allocations_of(&job.id);
             while self.machines[i].free_for_arrays().fits(&request) {
                 let Some(task) = tasks.peek().copied() else {
--- a/tests/heartbeat_length.rs
+++ b/tests/heartbeat_length.rs
@@ -32,6 +32,8 @@
 /// Heartbeats at the least interval that a task takes of its machine besides its run time: the ones that report
 /// its exit, carry the command to forget it, lack it, carry the next launch and show the next task.
 const MAX_FORGET_REPORTS: f64 = 5.0;
+/// Seconds within which the largest jobs start.
+const MAX_START_S: f64 = 240.0;
 /// CPUs of a machine.
 const CPUS: f64 = 64.0;
 
@@ -51,13 +53,19 @@
     next_report_at: f64,
     last_report_at: f64,
     run_s: BTreeMap<String, f64>,
+    gangs: BTreeSet<String>,
     done: BTreeSet<String>,
 }
 
+/// The job of a task.
+fn job_of(task: &str) -> &str {
+    task.rsplit_once('/').unwrap().0
+}
+
 impl Worker {
     fn new(number: usize, jobs: &[JobPlan]) -> Worker {
         let run_s = |job: &JobPlan| {
-            if job.is_service {
+            if job.kind == Kind::Service {
                 f64::INFINITY
             } else {
                 job.run_s
@@ -75,6 +83,10 @@
                 .iter()
                 .map(|job| (job.id.clone(), run_s(job)))
                 .collect(),
+            gangs: (jobs.iter())
+                .filter(|job| job.kind == Kind::Gang)
+                .map(|job| job.id.clone())
+                .collect(),
             done: BTreeSet::new(),
         }
     }
@@ -98,7 +110,7 @@
             match command {
                 Command::Start { task, attempt } => {
                     let id = AttemptId::new(task, *attempt);
-                    let run_s = self.run_s[task.rsplit_once('/').unwrap().0];
+                    let run_s = self.run_s[job_of(task)];
                     let started = WorkerTask {
                         ends_at: now + run_s,
                         is_done: false,
@@ -107,7 +119,15 @@
                 }
                 Command::Stop { task, attempt, .. } => {
                     let id = AttemptId::new(task, *attempt);
-                    assert!(!self.runs(&id), "nothing has to be stopped: {task}");
+                    // Tasks of a gang that are behind the others are stopped when it completes.
+                    let is_of_gang = self.gangs.contains(job_of(task));
+                    assert!(
+                        is_of_gang || !self.runs(&id),
+                        "nothing has to be stopped: {task}"
+                    );
+                    if let Some(task) = self.tasks.get_mut(&id) {
+                        task.is_done = true;
+                    }
                 }
                 Command::Forget { task, attempt } => {
                     let id = AttemptId::new(task, *attempt);
@@ -184,10 +204,28 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Array,
+    Gang,
+    Service,
+}
+
+impl Kind {
+    /// The name in a submission.
+    fn name(self) -> &'static str {
+        match self {
+            Kind::Array => "sweep",
+            Kind::Gang => "group",
+            Kind::Service => "standing",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct JobPlan {
     id: String,
-    is_service: bool,
+    kind: Kind,
     tasks: u32,
     cpus: f64,
     run_s: f64,
@@ -214,12 +252,11 @@
             finished: BTreeSet::new(),
         };
         for job in jobs {
-            let rig = if job.is_service { "standing" } else { "sweep" };
-            let mut body = submission(&job.id, rig, "normal", job.tasks);
+            let mut body = submission(&job.id, job.kind.name(), "normal", job.tasks);
             body["cpus"] = json!(job.cpus);
             body["mem_gb"] = json!(0.0);
             body["size_gb"] = json!(0.0);
-            body["passage_s"] = json!(if job.is_service {
+            body["passage_s"] = json!(if job.kind == Kind::Service {
                 0.0
             } else {
                 job.run_s.max(1.0)
@@ -296,7 +333,7 @@
         let replicas = self
             .jobs
             .iter()
-            .filter(|job| job.is_service)
+            .filter(|job| job.kind == Kind::Service)
             .map(|job| job.tasks as usize);
         let wanted: usize = replicas.sum();
         let running = |worker: &Worker| {
@@ -307,7 +344,7 @@
                 .count()
         };
         let running: usize = self.workers.iter().map(running).sum();
-        let arrays = self.jobs.iter().filter(|job| !job.is_service);
+        let arrays = self.jobs.iter().filter(|job| job.kind == Kind::Array);
         running == wanted
             && arrays
                 .map(|job| &job.id)
@@ -363,9 +400,14 @@
             let (id, kind, tasks, cpus, run_s) = job;
             // The number makes ids distinct. The replicas of all services fit on one machine.
             let is_service = kind == 0;
+            let kind = if is_service {
+                Kind::Service
+            } else {
+                Kind::Array
+            };
             JobPlan {
                 id: format!("req-{number}{id}"),
-                is_service,
+                kind,
                 tasks: if is_service { 1 + tasks % 50 } else { tasks },
                 cpus: if is_service { cpus.min(0.25) } else { cpus },
                 run_s,
@@ -421,7 +463,7 @@
     for (run_s, cpus) in [(0.2, 0.25), (0.5, 1.0), (1.0, 0.25), (2.0, 0.5)] {
         let job = JobPlan {
             id: "req-000001".into(),
-            is_service: false,
+            kind: Kind::Array,
             tasks: 5_000,
             cpus,
             run_s,
@@ -432,3 +474,44 @@
         assert!(took_s < limit_s, "{took_s} s for tasks of {run_s} s");
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 20,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a gang that waits for ever beside an array whose short tasks take the heartbeat of its machine
+    /// again and again, and against a small job that does.
+    #[test]
+    fn gang_and_small_job_start_beside_an_array_of_tiny_tasks(
+        gang_tasks in 1..480u32,
+        array_run_s in prop_oneof![0.1..2.0, 2.0..10.0, 10.0..60.0],
+        cpus in 0.001..0.1,
+    ) {
+        let job = |id: &str, kind, tasks, run_s| JobPlan { id: id.into(), kind, tasks, cpus, run_s };
+        let jobs = [
+            job("req-000001", Kind::Array, 50_000, array_run_s),
+            job("req-000002", Kind::Gang, gang_tasks, 5.0),
+            job("req-000003", Kind::Array, 1, 5.0),
+        ];
+        let mut world = World::new(1, &jobs);
+        let mut now = 0.0;
+        let mut waiting: BTreeMap<&str, f64> =
+            [("req-000002", MAX_START_S), ("req-000003", MAX_WAIT_S)].into();
+        while !waiting.is_empty() {
+            now += STEP_S;
+            world.step(now);
+            let leader = &world.leader;
+            waiting.retain(|id, _| {
+                let job = leader.job(id);
+                job.is_some_and(|job| job.allocated() + job.completed() == 0)
+            });
+            for (id, limit_s) in &waiting {
+                prop_assert!(now < *limit_s, "{id} waits for {now} s");
+            }
+        }
+    }
+}
