--- a/src/coordination/cluster/commands.rs
+++ b/src/coordination/cluster/commands.rs
@@ -227,7 +227,7 @@
     }
 
     /// Applies the outcome of commands that were sent directly.
-    pub(crate) fn commands_answered(
+    pub(crate) fn commands_finished(
         &mut self,
         name: &MachineName,
         outcome: CommandOutcome,
--- a/src/coordination/manager.rs
+++ b/src/coordination/manager.rs
@@ -252,8 +252,8 @@
     }
 
     /// Handles the outcome of commands that were sent directly.
-    pub fn commands_answered(&mut self, machine: &MachineName, outcome: CommandOutcome, now: Time) {
-        self.cluster.commands_answered(machine, outcome, now);
+    pub fn commands_finished(&mut self, machine: &MachineName, outcome: CommandOutcome, now: Time) {
+        self.cluster.commands_finished(machine, outcome, now);
     }
 
     /// Whether this controller receives no heartbeats directly from workers although there are machines.
--- a/src/coordination/requests/polls/batcher/mod.rs
+++ b/src/coordination/requests/polls/batcher/mod.rs
@@ -19,6 +19,7 @@
 use crate::coordination::Time;
 use crate::protocol::job::JobState;
 use crate::storage::key_value_store::CommitOutcome;
+use crate::storage::records::JobFinalState;
 use crate::storage::token_bucket::TokenBucket;
 
 /// The minimum interval between comparisons that are not full, in requests at the rate limit. Further
@@ -308,7 +309,7 @@
 fn report_final_state(id: PollId, job: &str, state: JobState) -> Vec<PollEffect> {
     let status = status_without_counts(job, state);
     vec![
-        PollEffect::FinalStatesRecorded(vec![(job.to_string(), state)]),
+        PollEffect::FinalStatesRecorded(vec![JobFinalState::new(job, state)]),
         PollEffect::Answer(id, Answer::Known(status)),
     ]
 }
--- a/src/coordination/requests/polls/batcher/read_results.rs
+++ b/src/coordination/requests/polls/batcher/read_results.rs
@@ -9,6 +9,7 @@
 use crate::coordination::Time;
 use crate::protocol::job::JobState;
 use crate::storage::key_value_store::Unavailable;
+use crate::storage::records::JobFinalState;
 use std::collections::HashSet;
 
 impl PollBatcher {
@@ -88,7 +89,7 @@
                     self.checks.found(&job);
                     self.dependencies.read(&job);
                 }
-                final_states.push((job, state));
+                final_states.push(JobFinalState { job, state });
             }
         }
         let mut effects = Vec::new();
--- a/src/coordination/requests/polls/types.rs
+++ b/src/coordination/requests/polls/types.rs
@@ -4,7 +4,8 @@
 use crate::coordination::requests::answers::Answer;
 use crate::coordination::requests::store_call::StoreCall;
 use crate::coordination::Time;
-use crate::protocol::job::{JobState, JobStatus};
+use crate::protocol::job::JobStatus;
+use crate::storage::records::JobFinalState;
 
 /// The number that identifies a poll of a batcher; chosen by the driver.
 pub type PollId = u64;
@@ -44,7 +45,7 @@
     /// [`PollBatcher::on_answer`](super::PollBatcher::on_answer).
     Store(StoreCall),
     /// The final states of these jobs are recorded. Precedes every answer that reports one of them.
-    FinalStatesRecorded(Vec<(String, JobState)>),
+    FinalStatesRecorded(Vec<JobFinalState>),
     /// Send the answer to the poll's client.
     Answer(PollId, Answer),
     /// The state service is unavailable to this controller: forward the poll to a peer.
--- a/src/service/controller/message_handler.rs
+++ b/src/service/controller/message_handler.rs
@@ -3,6 +3,7 @@
 use super::Controller;
 use crate::protocol::cloud::MachineType;
 use crate::service::messages::{IoOutcome, Message};
+use crate::storage::records::JobFinalState;
 
 impl Controller {
     pub(super) fn handle_message(&mut self, message: Message) {
@@ -15,13 +16,13 @@
             }
             Message::JobsAccepted { jobs } => self.apply_accepted_jobs(jobs),
             Message::JobsFinished { final_states } => {
-                for (id, state) in final_states {
-                    self.apply_final_state(&id, state);
+                for JobFinalState { job, state } in final_states {
+                    self.apply_final_state(&job, state);
                 }
             }
             Message::FinalStatesObserved { final_states } => {
-                for (id, state) in final_states {
-                    self.final_states.insert(&id, state);
+                for JobFinalState { job, state } in final_states {
+                    self.final_states.insert(&job, state);
                 }
             }
             Message::RecordsLoaded {
@@ -53,8 +54,8 @@
         };
         match outcome {
             IoOutcome::WriteFinished { id, outcome } => manager.write_finished(id, outcome, now),
-            IoOutcome::CommandsAnswered { machine, outcome } => {
-                manager.commands_answered(&machine, outcome, now);
+            IoOutcome::CommandsFinished { machine, outcome } => {
+                manager.commands_finished(&machine, outcome, now);
             }
             IoOutcome::FinalStatesRead { records } => manager.final_states_read(records, now),
             IoOutcome::MachinesRented { request, machines } => {
--- a/src/service/final_state_notifier.rs
+++ b/src/service/final_state_notifier.rs
@@ -3,6 +3,7 @@
 use super::messages::Message;
 use crate::protocol::job::JobState;
 use crate::storage::cancellation_log::CancellationLog;
+use crate::storage::records::JobFinalState;
 use crossbeam::channel::Sender;
 
 /// Publishes recorded final states to the controller actor and, if they are cancellations, to the log that
@@ -18,10 +19,10 @@
 
 impl FinalStateNotifier {
     /// Publishes the final states of jobs, all in one message.
-    pub fn publish(&self, final_states: Vec<(String, JobState)>) {
-        for (id, state) in &final_states {
-            if *state == JobState::Cancelled {
-                self.cancellations.record(id);
+    pub fn publish(&self, final_states: Vec<JobFinalState>) {
+        for finished in &final_states {
+            if finished.state == JobState::Cancelled {
+                self.cancellations.record(&finished.job);
             }
         }
         let _ = self
--- a/src/service/final_state_watch.rs
+++ b/src/service/final_state_watch.rs
@@ -4,11 +4,10 @@
 use super::messages::Message;
 use super::polls::PollQueue;
 use super::threads::spawn;
-use crate::protocol::job::JobState;
 use crate::protocol::store::{Event, Events};
 use crate::settings::Settings;
 use crate::storage::key_value_store::{KeyValueStore, Unavailable};
-use crate::storage::records::{FinalStateRecord, FINAL_STATE_PREFIX, LEADER_KEY};
+use crate::storage::records::{FinalStateRecord, JobFinalState, FINAL_STATE_PREFIX, LEADER_KEY};
 use crossbeam::channel::Sender;
 use std::time::Duration;
 
@@ -79,7 +78,7 @@
     }
 
     fn publish(&self, events: Events) {
-        let final_states: Vec<(String, JobState)> = events
+        let final_states: Vec<JobFinalState> = events
             .events
             .into_iter()
             .filter_map(final_state_of)
@@ -94,9 +93,10 @@
     }
 }
 
-/// The job and its final state, if the event is the put of a record that can be decoded.
-fn final_state_of(event: Event) -> Option<(String, JobState)> {
-    let job = event.put?.strip_prefix(FINAL_STATE_PREFIX)?.to_string();
+/// The job's final state, if the event is the put of a record that can be decoded.
+fn final_state_of(event: Event) -> Option<JobFinalState> {
+    let key = event.put?;
+    let job = key.strip_prefix(FINAL_STATE_PREFIX)?;
     let record: FinalStateRecord = serde_json::from_value(event.value).ok()?;
-    Some((job, record.state))
+    Some(JobFinalState::new(job, record.state))
 }
--- a/src/service/gateway.rs
+++ b/src/service/gateway.rs
@@ -20,6 +20,7 @@
 use crate::settings::Settings;
 use crate::storage::key_value_store::KeyValueStore;
 use crate::storage::open_job_budget::OpenJobBudget;
+use crate::storage::records::JobFinalState;
 use crate::transport::api_server::ApiRequest;
 use crate::transport::peers::{ForwardedRequest, Kind, Peers};
 use crate::transport::{Reply, Responder};
@@ -218,7 +219,7 @@
                     continue;
                 }
                 RequestEffect::FinalStateRecorded(state) => {
-                    let final_states = vec![(request.job().to_string(), state)];
+                    let final_states = vec![JobFinalState::new(request.job(), state)];
                     self.handles.final_state_notifier.publish(final_states);
                     continue;
                 }
--- a/src/service/io_thread_pool/command_dispatcher.rs
+++ b/src/service/io_thread_pool/command_dispatcher.rs
@@ -45,7 +45,7 @@
         let inbox = self.inbox.clone();
         let body = serde_json::to_vec(commands).expect("serializing plain data cannot fail");
         let deliver_response = move |response| {
-            let outcome = IoOutcome::CommandsAnswered {
+            let outcome = IoOutcome::CommandsFinished {
                 machine: machine.clone(),
                 outcome: outcome_of(&response),
             };
--- a/src/service/messages.rs
+++ b/src/service/messages.rs
@@ -10,10 +10,9 @@
 use crate::coordination::Time;
 use crate::protocol::cloud::{ListedMachine, MachineType};
 use crate::protocol::ids::FencingToken;
-use crate::protocol::job::JobState;
 use crate::protocol::worker::Heartbeat;
 use crate::storage::open_job_budget::AcceptedJobs;
-use crate::storage::records::{FinalStateRecord, OpenRecord};
+use crate::storage::records::{FinalStateRecord, JobFinalState, OpenRecord};
 use crate::transport::Responder;
 use crossbeam::channel::Sender;
 use stairstage_upgrade::fence::WriteFence;
@@ -40,13 +39,13 @@
     },
     /// Jobs have finished, according to the state service or the leader.
     JobsFinished {
-        /// Each job's id and final state.
-        final_states: Vec<(String, JobState)>,
+        /// The jobs and their final states.
+        final_states: Vec<JobFinalState>,
     },
     /// The watch of final states has seen new records.
     FinalStatesObserved {
-        /// Each job's id and final state.
-        final_states: Vec<(String, JobState)>,
+        /// The jobs and their final states.
+        final_states: Vec<JobFinalState>,
     },
     /// The record reader of a new leader has read all records.
     RecordsLoaded {
@@ -122,7 +121,7 @@
         outcome: WriteOutcome,
     },
     /// The outcome of a command batch that was sent directly to a worker.
-    CommandsAnswered {
+    CommandsFinished {
         /// The worker's machine.
         machine: MachineName,
         /// Whether the commands were executed.
--- a/src/service/polls.rs
+++ b/src/service/polls.rs
@@ -10,9 +10,9 @@
 };
 use crate::coordination::requests::{Answer, RetryReason};
 use crate::coordination::Time;
-use crate::protocol::job::JobState;
 use crate::settings::Settings;
 use crate::storage::key_value_store::KeyValueStore;
+use crate::storage::records::JobFinalState;
 use crate::transport::Responder;
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender, TrySendError};
 use std::collections::{HashMap, VecDeque};
@@ -47,7 +47,7 @@
         waits_on: Vec<String>,
     },
     /// The final states of jobs have been recorded.
-    FinalStates(Vec<(String, JobState)>),
+    FinalStates(Vec<JobFinalState>),
 }
 
 /// The sender of the driver's queue: polls, and events that help to answer them.
@@ -86,7 +86,7 @@
 
     /// Final states of jobs have been recorded. If the queue is full the event is dropped, and a poll of such
     /// a job then costs a read.
-    pub fn final_states_recorded(&self, final_states: Vec<(String, JobState)>) {
+    pub fn final_states_recorded(&self, final_states: Vec<JobFinalState>) {
         let _ = self.0.try_send(Input::FinalStates(final_states));
     }
 }
@@ -172,7 +172,7 @@
             }
             Input::Accepted { job, waits_on } => self.batcher.job_accepted(&job, &waits_on),
             Input::FinalStates(final_states) => {
-                for (job, state) in final_states {
+                for JobFinalState { job, state } in final_states {
                     self.batcher.final_state_recorded(&job, state);
                 }
             }
--- a/src/storage/records/final_state.rs
+++ b/src/storage/records/final_state.rs
@@ -14,6 +14,25 @@
     pub at_ms: Option<u64>,
 }
 
+/// A finished job and its final state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobFinalState {
+    /// The job's id.
+    pub job: String,
+    /// The final state.
+    pub state: JobState,
+}
+
+impl JobFinalState {
+    /// The final state of a job.
+    pub fn new(job: &str, state: JobState) -> JobFinalState {
+        JobFinalState {
+            job: job.to_string(),
+            state,
+        }
+    }
+}
+
 impl FinalStateRecord {
     /// The record of a job that is cancelled at `at_ms`, in milliseconds since the Unix epoch.
     pub fn cancelled(at_ms: u64) -> FinalStateRecord {
--- a/src/storage/records/mod.rs
+++ b/src/storage/records/mod.rs
@@ -24,7 +24,7 @@
 pub mod placements;
 
 pub use completions::{CompletionShards, StoredCompletions};
-pub use final_state::FinalStateRecord;
+pub use final_state::{FinalStateRecord, JobFinalState};
 pub use keys::{
     completion_key, final_state_key, open_key, parse_completion_key, parse_placement_key,
     placement_key, COMPLETION_PREFIX, FINAL_STATE_PREFIX, LEADER_KEY, MACHINE_TYPES_KEY,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -448,7 +448,7 @@
             ..
         } => {
             launches.extend(starts(&batch.commands).into_iter().map(|s| s.task));
-            manager.commands_answered(&machine, CommandOutcome::Indeterminate, now);
+            manager.commands_finished(&machine, CommandOutcome::Indeterminate, now);
         }
         Effect::ReturnMachines(names) => {
             manager.machines_returned(&names, true, now);
--- a/tests/common/saturated_fleet.rs
+++ b/tests/common/saturated_fleet.rs
@@ -143,7 +143,7 @@
             // The response is an old heartbeat, which tells the manager nothing new.
             Effect::SendCommands { machine, .. } => {
                 let old_heartbeat = worker_heartbeat(&machine, 0, 1, Vec::new());
-                manager.commands_answered(&machine, CommandOutcome::Executed(old_heartbeat), now);
+                manager.commands_finished(&machine, CommandOutcome::Executed(old_heartbeat), now);
             }
             _ => {}
         }
--- a/tests/fault_recovery.rs
+++ b/tests/fault_recovery.rs
@@ -137,7 +137,7 @@
 #[test]
 fn leader_with_unconfirmed_lease_stops_cancelled_tasks_without_waiting_for_a_heartbeat() {
     let (mut manager, attempts) = running_job();
-    manager.commands_answered(&"m-1".into(), CommandOutcome::Indeterminate, 1.0);
+    manager.commands_finished(&"m-1".into(), CommandOutcome::Indeterminate, 1.0);
     manager.set_lease_valid_until(1.0);
     manager.final_state_recorded("req-1", JobState::Cancelled, 8.0);
     manager.step(8.0);
@@ -329,7 +329,7 @@
     // The command is answered first. The answer does not show req-2, whose launch may still arrive.
     let running = task_statuses(&launches, TaskState::Running, None);
     let after_command = worker_heartbeat("m-1", 3, 1, running.clone());
-    manager.commands_answered(&"m-1".into(), CommandOutcome::Executed(after_command), 0.8);
+    manager.commands_finished(&"m-1".into(), CommandOutcome::Executed(after_command), 0.8);
     let (deleted, _) = run_step(&mut manager, 1.5);
     assert!(deleted.is_empty(), "{deleted:?}");
     // The worker's next regular heartbeat shows that it has not applied the response with the launch.
@@ -372,7 +372,7 @@
                     "m-2" => CommandOutcome::Executed(response),
                     _ => CommandOutcome::NotSent,
                 };
-                manager.commands_answered(&machine, outcome, now);
+                manager.commands_finished(&machine, outcome, now);
             }
             Effect::ReturnMachines(names) => {
                 manager.machines_returned(&names, true, now);
--- a/tests/heartbeat_length.rs
+++ b/tests/heartbeat_length.rs
@@ -307,7 +307,7 @@
                     .find(|worker| worker.name == *machine)
                     .unwrap();
                 let outcome = worker.execute_batch(&commands, now);
-                leader.commands_answered(&machine, outcome, now);
+                leader.commands_finished(&machine, outcome, now);
             }
             Effect::RaiseToken => leader.token_raised(Some(draw_token(store)), now),
             Effect::JobFinished { id, .. } => {
--- a/tests/histories/delivery.rs
+++ b/tests/histories/delivery.rs
@@ -173,7 +173,7 @@
         };
         let now = self.now;
         self.with_controller(from, |manager| {
-            manager.commands_answered(&machine.into(), result, now);
+            manager.commands_finished(&machine.into(), result, now);
         });
     }
 
--- a/tests/histories/network.rs
+++ b/tests/histories/network.rs
@@ -253,7 +253,7 @@
         let now = self.now;
         let Some(i) = self.worker_index(machine) else {
             return self.with_controller(from, |manager| {
-                manager.commands_answered(machine, CommandOutcome::NotSent, now);
+                manager.commands_finished(machine, CommandOutcome::NotSent, now);
             });
         };
         let faults = self.network_mut().faults;
@@ -288,7 +288,7 @@
             let result = self.execute_commands(i, &batch);
             if !response_lost {
                 return self.with_controller(from, |manager| {
-                    manager.commands_answered(machine, result, now);
+                    manager.commands_finished(machine, result, now);
                 });
             }
         }
@@ -377,7 +377,7 @@
                 machine,
                 result,
             } => self.with_controller(to, |manager| {
-                manager.commands_answered(&machine, result, now);
+                manager.commands_finished(&machine, result, now);
             }),
             Message::Heartbeat(heartbeat) => {
                 for leader in self.leader.iter_mut().chain(&mut self.former_leaders) {
--- a/tests/large_fleets.rs
+++ b/tests/large_fleets.rs
@@ -161,7 +161,7 @@
             unanswered.drain(..).partition(|(at, _)| now > at + 1.5);
         unanswered = waiting;
         for (_, machine) in timed_out {
-            manager.commands_answered(&machine.as_str().into(), CommandOutcome::Indeterminate, now);
+            manager.commands_finished(&machine.as_str().into(), CommandOutcome::Indeterminate, now);
         }
         manager.tick(now);
         apply_effects(manager, now, |manager, effect| match effect {
@@ -250,7 +250,7 @@
                 } = effect
                 {
                     launched += starts(&batch.commands).len();
-                    manager.commands_answered(&machine, CommandOutcome::Indeterminate, now);
+                    manager.commands_finished(&machine, CommandOutcome::Indeterminate, now);
                 }
             });
         }
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -149,7 +149,7 @@
             self.launched.extend(starts(&answer.commands));
         }
         // The same heartbeat is the response to any direct command.
-        self.manager.commands_answered(
+        self.manager.commands_finished(
             &"m-1".into(),
             stairstage::coordination::cluster::CommandOutcome::Executed(heartbeat),
             now,
--- a/tests/poll_batching.rs
+++ b/tests/poll_batching.rs
@@ -11,7 +11,7 @@
 use stairstage::protocol::job::JobState;
 use stairstage::settings::Settings;
 use stairstage::storage::key_value_store::CommitOutcome;
-use stairstage::storage::records::{final_state_key, open_key, OpenRecord};
+use stairstage::storage::records::{final_state_key, open_key, JobFinalState, OpenRecord};
 use stairstage_upgrade::fence::WriteFence;
 
 /// The settings of most tests.
@@ -179,7 +179,7 @@
     else {
         panic!("{effects:?}");
     };
-    let done = |job: &str| (job.to_string(), JobState::Done);
+    let done = |job| JobFinalState::new(job, JobState::Done);
     assert_eq!(*final_states, ["req-1", "req-2", "req-3"].map(done));
 }
 
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -28,7 +28,7 @@
 use stairstage::protocol::job::JobState;
 use stairstage::protocol::store::WriteOperation;
 use stairstage::storage::key_value_store::{CommitOutcome, Unavailable};
-use stairstage::storage::records::{final_state_key, FinalStateRecord};
+use stairstage::storage::records::{final_state_key, FinalStateRecord, JobFinalState};
 use stairstage_upgrade::fence::WriteFence;
 
 /// How often each combination of faults must occur, over all schedules of a test.
@@ -361,7 +361,7 @@
         [
             PollEffect::FinalStatesRecorded(final_states),
             PollEffect::Answer(1, Answer::Known(_))
-        ] if *final_states == [(job.clone(), JobState::Cancelled)]
+        ] if *final_states == [JobFinalState::new(&job, JobState::Cancelled)]
     );
     assert!(in_order, "{effects:?}");
 }
--- a/tests/requests/simulation.rs
+++ b/tests/requests/simulation.rs
@@ -16,6 +16,7 @@
 use stairstage::settings::Settings;
 use stairstage::storage::key_value_store::{CommitOutcome, Unavailable};
 use stairstage::storage::recent_jobs::RecentFinalStates;
+use stairstage::storage::records::JobFinalState;
 use stairstage_upgrade::fence::WriteFence;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -213,8 +214,8 @@
                     });
                 }
                 PollEffect::FinalStatesRecorded(final_states) => {
-                    for (id, state) in final_states {
-                        self.final_state_recorded(controller, job_of(&id).unwrap(), state);
+                    for JobFinalState { job, state } in final_states {
+                        self.final_state_recorded(controller, job_of(&job).unwrap(), state);
                     }
                 }
                 PollEffect::Answer(number, answer) => {
--- a/tests/silent_machines.rs
+++ b/tests/silent_machines.rs
@@ -42,7 +42,7 @@
                 None,
             ));
             let heartbeat = worker_heartbeat(&machine, 2, 1, on_machine.clone());
-            manager.commands_answered(&machine, CommandOutcome::Executed(heartbeat), 0.0);
+            manager.commands_finished(&machine, CommandOutcome::Executed(heartbeat), 0.0);
         }
     });
     (manager, tasks)
@@ -134,7 +134,7 @@
                 commanded.push(machine.to_string());
             }
             if silent.clone().any(|i| *machine == machine_name(i)) {
-                manager.commands_answered(&machine, CommandOutcome::Indeterminate, now);
+                manager.commands_finished(&machine, CommandOutcome::Indeterminate, now);
             }
         }
     });
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -66,7 +66,7 @@
             manager.write_finished(id, written, now);
         }
         Effect::SendCommands { machine, .. } => {
-            manager.commands_answered(&machine, CommandOutcome::Indeterminate, now);
+            manager.commands_finished(&machine, CommandOutcome::Indeterminate, now);
         }
         _ => {}
     });
@@ -236,7 +236,7 @@
             } => {
                 launched.extend(starts(&batch.commands).into_iter().map(|s| s.task));
                 let known = worker_heartbeat(&machine, 0, 1, vec![]);
-                manager.commands_answered(&machine, CommandOutcome::Executed(known), now);
+                manager.commands_finished(&machine, CommandOutcome::Executed(known), now);
             }
             _ => {}
         });
--- a/tests/workload_simulation/overload.rs
+++ b/tests/workload_simulation/overload.rs
@@ -186,7 +186,7 @@
                 let i: usize = machine[2..].parse().unwrap();
                 self.run(i, &batch.commands);
                 let heartbeat = self.heartbeat(i);
-                self.manager.commands_answered(
+                self.manager.commands_finished(
                     &machine,
                     CommandOutcome::Executed(heartbeat),
                     self.now,
--- a/tests/workload_simulation/simulation/leader.rs
+++ b/tests/workload_simulation/simulation/leader.rs
@@ -115,7 +115,7 @@
                 ..
             } => {
                 let result = self.deliver(&machine, &batch);
-                self.manager().commands_answered(&machine, result, now);
+                self.manager().commands_finished(&machine, result, now);
             }
             Effect::ReadFinalStates(ids) => {
                 let found = self.store.final_states(&ids);
